--- /dev/null
+++ b/src/admission/scheduler.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "admission/variants.hpp"
+
+namespace gingerdrift::admission {
+
+/// The race of the variants. Pure: a snapshot and its `now` in, decisions out.
+class scheduler {
+ public:
+  explicit scheduler(const policy& rules) : rules_(rules), book_(rules) {}
+  decisions pass(const snapshot& world);
+  const variant_book& variants() const { return book_; }
+
+ private:
+  struct reservation {
+    std::string job;
+    time_point until;
+  };
+  friend class pass_state;
+  const policy rules_;
+  variant_book book_;
+  std::map<std::string, reservation> reserved_;  // machine -> the job it is being cleared for
+};
+
+}  // namespace gingerdrift::admission
--- /dev/null
+++ b/src/admission/types.hpp
@@ -0,0 +1,149 @@
+#pragma once
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.hpp"
+
+namespace gingerdrift::admission {
+
+struct resources {
+  double cpus = 0;
+  double gpus = 0;
+  double memory_gb = 0;
+
+  resources& operator+=(const resources& other) {
+    cpus += other.cpus;
+    gpus += other.gpus;
+    memory_gb += other.memory_gb;
+    return *this;
+  }
+  resources& operator-=(const resources& other) { return *this += other.times(-1); }
+  resources times(double factor) const {
+    return {cpus * factor, gpus * factor, memory_gb * factor};
+  }
+  /// Amounts are decimal: sums of tenths must not miss a full machine by a rounding error.
+  bool fits_in(const resources& room) const {
+    constexpr double slack = 1e-6;
+    return cpus <= room.cpus + slack && gpus <= room.gpus + slack &&
+           memory_gb <= room.memory_gb + slack;
+  }
+};
+
+enum class priority : std::uint8_t { low, standard, high, production };
+
+struct machine_type {
+  std::string name;
+  resources size;
+  double price = 0;
+  double spot_price = 0;
+  double cache_gb = 0;
+  double fetch_gb_per_s = 0;
+  duration boot = seconds(60);
+  std::vector<std::string> zones;
+};
+
+/// A pool: one machine type in one zone, ordinary or spot. An empty zone stands for "any zone",
+/// which gangs use that may span zones.
+struct pool {
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  auto operator<=>(const pool&) const = default;
+};
+
+struct machine_view {
+  std::string name;
+  pool where;
+  resources free;         // of a machine that reports; what a new one of its type has otherwise
+  bool ready = false;     // reports, and takes new tasks
+  bool starting = false;  // rented, not up yet
+  std::set<std::string> images;
+};
+
+struct placed_view {
+  std::uint32_t task = 0;
+  std::string machine;
+  pool where;
+  bool running = false;
+  bool stopping = false;
+  duration ran{};  // since it was first seen running
+};
+
+struct job_view {
+  std::string id;
+  std::size_t team = 0;
+  admission::priority level = priority::standard;
+  std::int64_t created_ms = 0;
+  duration age{};
+  bool gang = false;
+  std::uint32_t total = 0;
+  resources need;  // of each task
+  bool any_type = true;
+  std::vector<std::string> types;
+  std::string zone;  // empty: any
+  bool one_zone = false;
+  bool spread = false;
+  bool spot = false;
+  std::string image;
+  duration estimate{};
+  duration checkpoint{};
+  duration save{};
+  std::vector<std::uint32_t> waiting;  // tasks to place now; a gang's: all of them or lost ones
+  std::vector<placed_view> placed;     // whatever is not proven gone
+  std::set<std::string> avoid;         // machines it failed on
+  bool held_back = false;              // backing off, or waiting for an old attempt to go
+};
+
+/// 0 in a field: no guarantee, no limit.
+struct team_view {
+  std::string name;
+  double cpus = 0;
+  double cpus_max = 0;
+  double gpus = 0;
+  double gpus_max = 0;
+};
+
+struct snapshot {
+  time_point now;
+  std::vector<machine_type> types;
+  std::vector<team_view> teams;
+  std::vector<machine_view> machines;
+  std::vector<job_view> jobs;
+  std::set<pool> refused;  // no capacity there lately
+};
+
+struct start_decision {
+  std::string job;
+  std::uint32_t task = 0;
+  std::string machine;
+};
+enum class stop_reason : std::uint8_t { preempted, upgraded };
+struct stop_decision {
+  std::string job;
+  std::vector<std::uint32_t> tasks;
+  stop_reason reason = stop_reason::preempted;
+  std::string for_job;
+};
+struct decisions {
+  std::vector<start_decision> starts;
+  std::vector<stop_decision> stops;
+  std::map<pool, std::uint32_t> rent;  // machines missing, beyond those starting
+  std::set<std::string> expected;      // machines some waiting job counts on
+};
+
+struct policy {
+  bool spot_first = true;
+  duration create_delay = seconds(0);
+  duration delete_delay = seconds(60);
+  duration upgrade_min_left = seconds(120);
+  duration preempt_hold = seconds(20);
+};
+
+}  // namespace gingerdrift::admission
--- /dev/null
+++ b/src/base/time.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace gingerdrift {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using time_point = std::chrono::steady_clock::time_point;
+using duration = std::chrono::steady_clock::duration;
+using wall_time = std::chrono::system_clock::time_point;
+using fractional_seconds = std::chrono::duration<double>;
+
+/// Wire and settings durations are decimal seconds; this is the only place that converts them.
+inline duration from_seconds(double value) {
+  return std::chrono::duration_cast<duration>(fractional_seconds(value));
+}
+inline double to_seconds(duration value) {
+  return std::chrono::duration_cast<fractional_seconds>(value).count();
+}
+
+}  // namespace gingerdrift
--- /dev/null
+++ b/src/daemon/controller.cpp
@@ -0,0 +1,238 @@
+#include "daemon/controller.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace gingerdrift::daemon {
+
+namespace {
+constexpr auto types_retry = seconds(3);
+constexpr auto types_refresh = seconds(120);
+constexpr auto types_deadline = seconds(4);
+constexpr auto watch_period = milliseconds(500);
+constexpr auto store_patience = seconds(2);
+constexpr auto forward_deadline = milliseconds(1200);
+constexpr auto stand_back = seconds(15);
+/// Of the state service's limits, what one controller may take. Two or three share them, and the
+/// leader does most of the writing.
+constexpr double request_share = 0.45;
+constexpr double write_share = 0.5;
+const char* const types_key = "gd/types";
+}  // namespace
+
+controller::controller(net::runtime& runtime, planner& plans, platform_settings platform,
+                       operator_settings rules, std::uint64_t seed)
+    : runtime_(runtime),
+      plans_(plans),
+      platform_(std::move(platform)),
+      rules_(std::move(rules)),
+      store_(runtime, platform_.state, platform_.state_rps * request_share,
+             platform_.state_write_rps * write_share) {
+  front::front::hooks users;
+  users.leads = [this] { return leads(); };
+  users.known = [this](const std::string& id) { return term_ ? term_->known(id) : std::nullopt; };
+  users.cancel = [this](const std::string& id, auto done) {
+    if (!term_) return done(std::nullopt);
+    term_->cancel(id, std::move(done));
+  };
+  users.submitted = [this](const std::string& id) {
+    if (leads()) {
+      term_->look_up(id);
+    } else if (!elector_->leader().node.empty()) {
+      mesh_->announce(elector_->leader().node, id);
+    }
+  };
+  users.forward = [this](const net::request& message, net::reply_fn done) {
+    forward(message, std::move(done));
+  };
+  users.pass_on = [this](const net::request& message, net::reply_fn done) {
+    pass_on(message, std::move(done));
+  };
+  users.healthy = [this] {
+    if (store_works()) return true;
+    // When the store refuses everybody, being passed over helps nobody.
+    for (const auto& [name, peer] : mesh_->peers()) {
+      if (mesh_->heard_lately(peer) && peer.store_works) return false;
+    }
+    return true;
+  };
+  users.types = [this]() -> const std::vector<admission::machine_type>& { return types_; };
+  users.status = [this] { return status(); };
+  front_ = std::make_unique<front::front>(
+      runtime_, store_, front::options{rules_.waiting_submissions, rules_.final_cache},
+      platform_.teams, std::move(users));
+
+  std::map<std::string, std::string> peers;
+  for (const auto& one : platform_.peers) peers[one.node] = one.address;
+  mesh::link::hooks talk;
+  talk.user = [this](const net::request& message, const net::reply_fn& reply) {
+    front_->handle(message, true, reply);
+  };
+  talk.new_job = [this](const std::string& job) {
+    if (leads() && front::valid_id(job)) term_->look_up(job);
+  };
+  talk.store_works = [this] { return store_works(); };
+  talk.reports_seen = [this] { return static_cast<std::uint64_t>(knocks_.size()); };
+  mesh_ = std::make_unique<mesh::link>(runtime_, platform_.node, peers, std::move(talk));
+
+  leadership::elector::hooks office;
+  office.elected = [this](std::uint64_t token, const store::condition& leader) {
+    term::hooks events;
+    events.deposed = [this] { elector_->found_deposed(); };
+    events.valid = [this] { return elector_->valid(); };
+    events.finished = [this](const std::string& id, store::job_status status) {
+      front_->remember(id, status);
+    };
+    events.finished_before = [this](const std::string& id) { return front_->remembers(id); };
+    term_ = std::make_unique<term>(runtime_, store_, platform_, rules_, token, leader, types_,
+                                   plans_, numbers_, std::move(events));
+    term_->start();
+  };
+  office.deposed = [this] { term_.reset(); };
+  elector_ = std::make_unique<leadership::elector>(
+      runtime_, store_,
+      leadership::options{platform_.node, rules_.leader_lease, keeper_grace(platform_)}, seed,
+      std::move(office));
+}
+
+controller::~controller() {
+  *alive_ = false;
+  runtime_.cancel(types_timer_);
+  runtime_.cancel(watch_timer_);
+  term_.reset();
+}
+
+void controller::start() {
+  mesh_->start();
+  elector_->start();
+  read_types();
+  fetch_types();
+  watch_over();
+}
+
+/// The machine types as another controller stored them, for a start while the cloud is down.
+void controller::read_types() {
+  store_.get(types_key, [this, alive = alive_](const store::result& found) {
+    if (!*alive || !types_.empty() || !found.ok() || found.entries.empty()) return;
+    const auto types = fleet::read_types(found.entries.front().value.dump());
+    if (types) types_ = *types;
+  });
+}
+
+void controller::fetch_types() {
+  runtime_.call(
+      platform_.cloud, {"GET", "/flavors", ""}, types_deadline,
+      [this, alive = alive_](const net::response& reply) {
+        if (!*alive) return;
+        const auto types = reply.status == 200 ? fleet::read_types(reply.body) : std::nullopt;
+        if (types && !types->empty()) {
+          const bool first = types_.empty();
+          types_ = *types;
+          if (first) {
+            store_.txn({}, {{types_key, store::json::parse(fleet::write_types(types_)), 0, false}},
+                       [](const store::result&) {});
+          }
+        } else if (types_.empty()) {
+          spdlog::info("machine types not known yet: cloud status={} bytes={}", reply.status,
+                       reply.body.size());
+          read_types();
+        }
+        types_timer_ =
+            runtime_.after(types_.empty() ? duration(types_retry) : duration(types_refresh),
+                           [this] { fetch_types(); });
+      });
+}
+
+bool controller::store_works() const {
+  if (store_.last_failure() <= store_.last_answer()) return true;
+  return runtime_.now() - store_.last_answer() < store_patience;
+}
+
+/// A leader that no worker reaches, while workers knock at its peers, makes room for one of them.
+void controller::watch_over() {
+  watch_timer_ = runtime_.after(watch_period, [this] { watch_over(); });
+  const time_point now = runtime_.now();
+  std::erase_if(knocks_, [&](time_point at) { return now - at > platform_.report * 2; });
+  if (!leads() || !term_->expects_workers()) return;
+  if (now - term_->last_report() < platform_.report * 2 + seconds(1)) return;
+  for (const auto& [name, peer] : mesh_->peers()) {
+    if (!mesh_->heard_lately(peer) || peer.reports_seen == 0) continue;
+    spdlog::info("no worker reaches this leader, but node={} sees them", name);
+    elector_->resign(stand_back);
+    return;
+  }
+}
+
+void controller::handle_front(const net::request& message, const net::reply_fn& reply) {
+  if (message.target == "/v1/report") {
+    if (message.method != "POST") {
+      reply({405, front::write_error("method not allowed"), std::nullopt, false});
+      return;
+    }
+    report(message, reply);
+    return;
+  }
+  front_->handle(message, false, reply);
+}
+
+void controller::handle_mesh(const net::request& message, const net::reply_fn& reply) {
+  mesh_->handle(message, reply);
+}
+
+void controller::report(const net::request& message, const net::reply_fn& reply) {
+  if (!term_ || !elector_->keeps_workers()) {
+    ++numbers_.redirected;
+    constexpr std::size_t most_knocks = 1000;
+    if (knocks_.size() < most_knocks) knocks_.push_back(runtime_.now());
+    const auto& leader = elector_->leader();
+    reply({421, workers::redirect(leader.node == platform_.node ? "" : leader.node), std::nullopt,
+           false});
+    return;
+  }
+  const auto said = workers::read_report(message.body);
+  if (!said) {
+    spdlog::error("malformed report dropped");
+    reply({400, front::write_error("malformed report"), std::nullopt, false});
+    return;
+  }
+  ++numbers_.reports;
+  reply({200, term_->report(*said), std::nullopt, false});
+}
+
+void controller::forward(const net::request& message, net::reply_fn done) {
+  const std::string node = elector_->leader().node;
+  if (node.empty() || node == platform_.node) {
+    done({});
+    return;
+  }
+  mesh_->forward(node, message, forward_deadline, std::move(done));
+}
+
+void controller::pass_on(const net::request& message, net::reply_fn done) {
+  for (const auto& [name, peer] : mesh_->peers()) {
+    if (!mesh_->heard_lately(peer) || !peer.store_works) continue;
+    mesh_->forward(name, message, forward_deadline, std::move(done));
+    return;
+  }
+  done({});
+}
+
+std::string controller::status() {
+  nlohmann::json out = {{"node", platform_.node},
+                        {"version", GINGERDRIFT_VERSION},
+                        {"leader", elector_->leader().node},
+                        {"leads", leads()},
+                        {"store_works", store_works()},
+                        {"reports", numbers_.reports},
+                        {"redirected", numbers_.redirected},
+                        {"starts", numbers_.starts},
+                        {"preemptions", numbers_.preemptions},
+                        {"upgrades", numbers_.upgrades},
+                        {"passes", numbers_.passes.summary()}};
+  for (const auto& [name, peer] : mesh_->peers()) {
+    out["peers"][name] = {{"heard", mesh_->heard_lately(peer)}, {"store_works", peer.store_works}};
+  }
+  if (term_) out["term"] = term_->status();
+  return out.dump();
+}
+
+}  // namespace gingerdrift::daemon
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,111 @@
+#include <signal.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <random>
+
+#include "daemon/controller.hpp"
+#include "net/http_server.hpp"
+#include "net/uv_runtime.hpp"
+
+namespace {
+
+using namespace gingerdrift;
+
+void set_up_log() {
+  auto logger = spdlog::stderr_logger_st("gingerdrift");
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  spdlog::set_default_logger(logger);
+  const char* level = std::getenv("LOG_LEVEL");
+  const std::string wanted = level == nullptr ? "info" : level;
+  if (wanted == "debug") {
+    spdlog::set_level(spdlog::level::debug);
+  } else if (wanted == "error") {
+    spdlog::set_level(spdlog::level::err);
+  } else {
+    spdlog::set_level(spdlog::level::info);
+  }
+  // The flush per record is what makes the last words before a kill readable.
+  spdlog::flush_on(spdlog::level::debug);
+}
+
+int run(const daemon::platform_settings& platform, const daemon::operator_settings& rules) {
+  net::client_limits limits;
+  // A third of the sockets for calls, half for the front, the rest as a reserve.
+  limits.open_total = platform.max_connections / 3;
+  net::uv_runtime runtime(limits);
+  admission::policy policy;
+  policy.spot_first = rules.pool_order.front() == "spot";
+  policy.create_delay = rules.create_delay;
+  policy.delete_delay = rules.delete_delay;
+  policy.upgrade_min_left = rules.upgrade_min_left;
+  policy.preempt_hold = rules.preempt_hold;
+  daemon::threaded_planner planner(
+      policy, [&runtime](std::function<void()> action) { runtime.post(std::move(action)); });
+  std::random_device entropy;
+  const std::uint64_t seed = (std::uint64_t{entropy()} << 32) ^ entropy();
+  daemon::controller controller(runtime, planner, platform, rules, seed);
+
+  net::server_limits front_limits;
+  front_limits.connections = platform.max_connections / 2;
+  net::http_server front(runtime, front_limits,
+                         [&](const net::request& message, const net::reply_fn& reply) {
+                           controller.handle_front(message, reply);
+                         });
+  net::server_limits mesh_limits;
+  mesh_limits.connections = 64;
+  mesh_limits.body_bytes = std::size_t{128} << 10;
+  net::http_server mesh(runtime, mesh_limits,
+                        [&](const net::request& message, const net::reply_fn& reply) {
+                          controller.handle_mesh(message, reply);
+                        });
+  for (const auto& failure : {front.listen(platform.listen), mesh.listen(platform.peer_listen)}) {
+    if (!failure.empty()) {
+      std::cerr << "gingerdrift: can't listen: " << failure << "\n";
+      return 1;
+    }
+  }
+  spdlog::info("gingerdrift {} node={} front={}", GINGERDRIFT_VERSION, platform.node,
+               platform.listen);
+  controller.start();
+  runtime.run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  ::signal(SIGPIPE, SIG_IGN);
+  CLI::App app{"gingerdrift: a cluster scheduler with concurrent admission"};
+  std::string config;
+  std::string settings;
+  bool check = false;
+  app.set_version_flag("--version", std::string("gingerdrift ") + GINGERDRIFT_VERSION);
+  app.add_option("--config", config, "the platform's settings (TOML)")->required();
+  app.add_option("--settings", settings, "the operators' own settings (XML)");
+  app.add_flag("--check", check, "check both settings files and exit");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  try {
+    set_up_log();
+    const auto platform = gingerdrift::daemon::read_platform_settings(config);
+    gingerdrift::daemon::operator_settings rules;
+    if (!settings.empty()) rules = gingerdrift::daemon::read_operator_settings(settings);
+    if (check) {
+      std::cout << "settings are fine\n";
+      return 0;
+    }
+    return run(platform, rules);
+  } catch (const gingerdrift::daemon::settings_error& error) {
+    std::cerr << "gingerdrift: " << error.what() << "\n";
+    return 2;
+  } catch (const std::exception& error) {
+    std::cerr << "gingerdrift: " << error.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/daemon/settings.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "base/time.hpp"
+
+namespace gingerdrift::daemon {
+
+/// Names the file, the field and the reason; the program ends with status 2 on it.
+class settings_error : public std::runtime_error {
+ public:
+  settings_error(const std::string& file, const std::string& field, const std::string& why)
+      : std::runtime_error(file + ": " + field + ": " + why) {}
+};
+
+struct peer {
+  std::string node;
+  std::string zone;
+  std::string address;
+};
+
+/// A limit or guarantee of 0 means none.
+struct team {
+  std::string name;
+  double cpus = 0;
+  double cpus_max = 0;
+  double gpus = 0;
+  double gpus_max = 0;
+};
+
+/// What the platform hands over (TOML). Unknown fields are ignored.
+struct platform_settings {
+  std::string node;
+  std::string zone;
+  std::string listen;
+  std::string peer_listen;
+  std::vector<peer> peers;
+  std::string cloud;
+  std::string state;
+  std::vector<std::string> zones;
+  duration clock_off = milliseconds(100);
+  std::vector<team> teams;
+  duration report = seconds(3);
+  duration worker_lease = seconds(24);
+  duration gang_wait = seconds(50);
+  duration gang_peer = seconds(4);
+  duration cancel = seconds(44);
+  double state_rps = 100;
+  double state_write_rps = 30;
+  double value_kb = 8;
+  std::uint32_t txn_ops = 24;
+  double cloud_rps = 2;
+  duration list_lag = seconds(5);
+  double memory_mb = 128;
+  std::uint32_t max_connections = 1000;
+};
+
+/// The operators' own settings (XML). Every field has a default; unknown elements are errors.
+/// docs/operations.md explains each.
+struct operator_settings {
+  // leadership
+  duration leader_lease = seconds(4);
+  // admission
+  std::vector<std::string> pool_order = {"spot", "on_demand"};
+  duration create_delay = seconds(0);
+  duration delete_delay = seconds(60);
+  duration upgrade_min_left = seconds(120);
+  duration preempt_hold = seconds(20);
+  duration pass_interval = milliseconds(200);
+  // fleet
+  duration idle_return = seconds(45);
+  duration refusal_backoff = seconds(10);
+  double boot_patience = 3.0;
+  duration silent_release = seconds(0);  // 0: the workers' lease
+  std::uint32_t machines_max = 1000;
+  // workers
+  std::uint32_t sick_jobs = 2;
+  duration broken_backoff = seconds(10);
+  // front
+  std::uint32_t waiting_submissions = 64;
+  std::uint32_t final_cache = 4096;
+};
+
+platform_settings read_platform_settings(const std::string& file);
+operator_settings read_operator_settings(const std::string& file);
+
+}  // namespace gingerdrift::daemon
--- /dev/null
+++ b/src/daemon/term.cpp
@@ -0,0 +1,519 @@
+#include "daemon/term.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace gingerdrift::daemon {
+
+using store::attempt_phase;
+using store::job;
+using store::job_status;
+
+namespace {
+constexpr auto reload_delay = milliseconds(200);
+constexpr auto watch_time = seconds(10);
+constexpr auto watch_pause = seconds(1);
+constexpr auto tick_period = seconds(1);
+constexpr std::size_t most_waiting_in_view = 256;
+/// A machine costs at least this much time, so it is not returned before.
+constexpr auto least_paid = seconds(60);
+constexpr auto drain_slack = seconds(4);
+
+workers::options worker_options(const platform_settings& platform, const operator_settings& rules,
+                                duration grace) {
+  return {platform.report, platform.worker_lease, grace, rules.sick_jobs, rules.broken_backoff};
+}
+
+fleet::options fleet_options(const platform_settings& platform, const operator_settings& rules) {
+  fleet::options out;
+  out.cloud = platform.cloud;
+  out.rps = platform.cloud_rps;
+  out.list_lag = platform.list_lag;
+  out.refusal_backoff = rules.refusal_backoff;
+  out.boot_patience = rules.boot_patience;
+  out.silence = platform.worker_lease + seconds(10);
+  out.machines_max = rules.machines_max;
+  return out;
+}
+}  // namespace
+
+duration keeper_grace(const platform_settings& platform) {
+  // Between the end of its lease and a cancellation by its successor running out.
+  return std::max<duration>(duration::zero(), platform.cancel - platform.worker_lease - seconds(3));
+}
+
+term::term(net::runtime& runtime, store::client& store, const platform_settings& platform,
+           const operator_settings& rules, std::uint64_t token, const store::condition& leader,
+           std::vector<admission::machine_type> types, planner& plans, metrics& numbers,
+           hooks events)
+    : runtime_(runtime),
+      store_(store),
+      platform_(platform),
+      rules_(rules),
+      token_(token),
+      plans_(plans),
+      numbers_(numbers),
+      events_(std::move(events)),
+      book_(runtime, store, leader, platform.txn_ops,
+            {[this](const std::string&) { changed(); },
+             [this](const std::string& id, job_status status) {
+               spdlog::info("finished job={} state={} term={}", id, store::status_name(status),
+                            token_);
+               events_.finished(id, status);
+               changed();
+             },
+             [this] { runtime_.after(duration::zero(), events_.deposed); },
+             [this] { return events_.valid(); }}),
+      workers_(runtime, book_, worker_options(platform, rules, keeper_grace(platform)), token,
+               {[this] { return events_.valid(); }, [this] { changed(); },
+                [this](const std::string& name) {
+                  for (const auto& type : fleet_.types()) {
+                    if (type.name == name) return type.cache_gb;
+                  }
+                  return 0.0;
+                }}),
+      fleet_(runtime, fleet_options(platform, rules), token,
+             {[this](const std::string& machine, const char* proof) {
+                workers_.machine_gone(machine, proof);
+              },
+              [this] { changed(); }, [this] { return events_.valid(); }}),
+      started_(runtime.now()),
+      last_report_(started_) {
+  fleet_.set_types(std::move(types));
+  for (std::size_t i = 0; i < platform_.teams.size(); ++i) team_index_[platform_.teams[i].name] = i;
+}
+
+term::~term() {
+  *alive_ = false;
+  runtime_.cancel(pass_timer_);
+  runtime_.cancel(tick_timer_);
+}
+
+void term::start() {
+  load(store::head_prefix, "");
+  tick();
+}
+
+/// Pages through the records: the heads, then the parts of large jobs.
+void term::load(const std::string& prefix, const std::string& after) {
+  store_.list(prefix, after, [this, prefix, after, alive = alive_](const store::result& page) {
+    if (!*alive) return;
+    if (!page.ok()) {
+      runtime_.after(reload_delay, [this, prefix, after, alive] {
+        if (*alive) load(prefix, after);
+      });
+      return;
+    }
+    // What is stored after the first page was read shows in the watch.
+    if (watch_from_ == 0) watch_from_ = page.revision;
+    for (const auto& entry : page.entries) take_in(entry);
+    if (page.more && !page.entries.empty()) {
+      load(prefix, page.entries.back().key);
+    } else if (prefix == store::head_prefix) {
+      load(store::part_prefix, "");
+    } else {
+      loaded();
+    }
+  });
+}
+
+void term::take_in(const store::entry& found) {
+  try {
+    const std::string prefix = store::head_prefix;
+    if (found.key.rfind(prefix, 0) == 0) {
+      const std::string id = found.key.substr(prefix.size());
+      if (book_.find(id) != nullptr || events_.finished_before(id)) return;
+      job fresh = store::read_head(found.value, found.version);
+      const auto team = team_index_.find(fresh.spec.team);
+      if (team == team_index_.end()) {
+        spdlog::error("job of an unknown team job={} team={}", id, fresh.spec.team);
+        return;
+      }
+      book_.insert(std::move(fresh));
+      return;
+    }
+    const std::string rest = found.key.substr(std::string(store::part_prefix).size());
+    const auto slash = rest.rfind('/');
+    if (job* one = book_.find(rest.substr(0, slash)); one != nullptr && loading_)
+      store::read_part(*one, std::stoul(rest.substr(slash + 1)), found.value, found.version);
+  } catch (const std::exception& error) {
+    spdlog::error("record is malformed key={}: {}", found.key, error.what());
+  }
+}
+
+void term::loaded() {
+  loading_ = false;
+  ready_ = true;
+  for (auto& [id, one] : book_.all()) {
+    workers_.adopt(one);
+    if (one.status == job_status::active && one.done.count() == one.spec.tasks) {
+      one.status = job_status::done;
+      book_.mark_head(one);
+    }
+    if (one.status != job_status::active && one.attempts.empty()) book_.retire(one);
+    if (one.status == job_status::cancelled) workers_.stop_all(one, duration::zero());
+  }
+  workers_.ready();
+  fleet_.start();
+  spdlog::info("term={} is ready jobs={} after_ms={}", token_, book_.all().size(),
+               std::chrono::duration_cast<milliseconds>(runtime_.now() - started_).count());
+  follow();
+  changed();
+}
+
+/// New jobs are announced by the node that took them; the watch finds those whose hint got lost.
+void term::follow() {
+  store_.watch(store::head_prefix, watch_from_, watch_time,
+               [this, alive = alive_](const store::result& news) {
+                 if (!*alive) return;
+                 if (news.ok()) {
+                   watch_from_ = std::max(watch_from_, news.revision);
+                   for (const auto& change : news.entries) {
+                     if (change.value.is_discarded()) continue;
+                     look_up(change.key.substr(std::string(store::head_prefix).size()));
+                   }
+                 } else if (news.status == 410) {
+                   watch_from_ = 0;
+                   load(store::head_prefix, "");
+                   return;
+                 }
+                 runtime_.after(watch_pause, [this, alive] {
+                   if (*alive) follow();
+                 });
+               });
+}
+
+void term::look_up(const std::string& id) {
+  if (!ready_ || book_.find(id) != nullptr || events_.finished_before(id)) return;
+  if (!looking_.insert(id).second) return;
+  store_.get(store::head_key(id), [this, id, alive = alive_](const store::result& found) {
+    if (!*alive) return;
+    looking_.erase(id);
+    if (found.ok() && !found.entries.empty()) {
+      take_in(found.entries.front());
+      changed();
+    } else if (found.status != 404) {
+      runtime_.after(reload_delay, [this, id, alive] {
+        if (*alive) look_up(id);
+      });
+    }
+  });
+}
+
+std::string term::report(const workers::report& said) {
+  last_report_ = runtime_.now();
+  if (fleet_.departed(said.machine)) return workers::write_commands(token_, {});
+  if (!fleet_.releasing(said.machine)) fleet_.heard(said.machine, said.where);
+  std::string out = workers_.handle(said);
+  if (auto* at = workers_.find(said.machine); at != nullptr && at->notice) drain(*at);
+  return out;
+}
+
+bool term::expects_workers() const { return ready_ && !fleet_.all().empty(); }
+
+std::optional<front::progress> term::known(const std::string& id) {
+  const job* one = book_.find(id);
+  if (one == nullptr) return std::nullopt;
+  front::progress at;
+  // Final states are told once they are stored, never before.
+  at.status = one->status_stored ? one->status : job_status::active;
+  at.done = one->done.count();
+  for (const auto& [task, entry] : one->attempts) {
+    if (entry.phase == attempt_phase::running) ++at.running;
+  }
+  return at;
+}
+
+void term::cancel(const std::string& id, std::function<void(std::optional<job_status>)> done) {
+  job* one = book_.find(id);
+  if (one == nullptr || !events_.valid()) {
+    done(std::nullopt);
+    return;
+  }
+  if (one->status == job_status::active) {
+    spdlog::info("cancelled job={} term={}", id, token_);
+    one->status = job_status::cancelled;
+    book_.mark_head(*one);
+    workers_.stop_all(*one, duration::zero());
+    if (one->attempts.empty()) book_.retire(*one);
+    changed();
+  }
+  if (one->status_stored) {
+    done(one->status);
+    return;
+  }
+  const job_status status = one->status;
+  book_.when_head_stored(*one, [done = std::move(done), status](bool stored) {
+    done(stored ? std::optional(status) : std::nullopt);
+  });
+}
+
+void term::changed() {
+  dirty_ = true;
+  if (!ready_ || planning_ || pass_timer_ != 0) return;
+  const time_point now = runtime_.now();
+  const time_point next = std::max(now + milliseconds(10), last_pass_ + rules_.pass_interval);
+  pass_timer_ = runtime_.after(next - now, [this] {
+    pass_timer_ = 0;
+    pass();
+  });
+}
+
+void term::pass() {
+  // Without a surely held lease nothing new is started.
+  if (!events_.valid() || fleet_.types().empty()) return;
+  planning_ = true;
+  dirty_ = false;
+  last_pass_ = runtime_.now();
+  plans_.plan(token_, picture(),
+              [this, alive = alive_](const admission::decisions& made, duration took) {
+                if (!*alive) return;
+                planning_ = false;
+                numbers_.passes.add(took);
+                if (events_.valid()) apply(made);
+                if (dirty_) changed();
+              });
+}
+
+admission::job_view term::view(const job& one, std::size_t team) const {
+  admission::job_view out;
+  const auto& spec = one.spec;
+  const time_point now = runtime_.now();
+  out.id = spec.id;
+  out.team = team;
+  out.level = spec.level;
+  out.created_ms = one.created_ms;
+  const auto wall =
+      std::chrono::duration_cast<milliseconds>(runtime_.wall_now().time_since_epoch()).count();
+  out.age = milliseconds(std::max<std::int64_t>(0, wall - one.created_ms));
+  out.gang = spec.gang;
+  out.total = spec.tasks;
+  out.need = spec.need;
+  out.any_type = spec.any_type;
+  out.types = spec.types;
+  out.zone = spec.zone;
+  out.one_zone = spec.one_zone;
+  out.spread = spec.spread;
+  out.spot = spec.spot;
+  out.image = spec.image;
+  out.estimate = spec.estimate;
+  out.checkpoint = spec.checkpoint;
+  out.save = spec.save;
+  out.held_back = now < one.not_before;
+  bool joinable = true;
+  for (const auto& [task, entry] : one.attempts) {
+    admission::placed_view place;
+    place.task = task;
+    place.machine = entry.machine;
+    const auto at = workers_.all().find(entry.machine);
+    if (at != workers_.all().end()) place.where = at->second.where;
+    if (place.where.zone.empty()) {
+      const auto listed = fleet_.all().find(entry.machine);
+      if (listed != fleet_.all().end()) place.where = listed->second.where;
+    }
+    // A machine nobody knows a zone of: nothing may be started beside its tasks.
+    if (place.where.zone.empty() && (spec.one_zone || spec.spread)) out.held_back = true;
+    place.running = entry.phase == attempt_phase::running;
+    place.stopping = entry.stopping;
+    if (place.running) place.ran = now - entry.running_since;
+    if (entry.stopping || !entry.seen || place.running) joinable = false;
+    out.placed.push_back(std::move(place));
+  }
+  if (one.status == job_status::active) {
+    for (std::uint32_t task = 0; task < spec.tasks && out.waiting.size() < most_waiting_in_view;
+         ++task) {
+      const auto range = one.done.ranges().upper_bound(task);
+      if (range != one.done.ranges().begin() && task <= std::prev(range)->second) {
+        task = std::prev(range)->second;
+        continue;
+      }
+      if (one.attempts.count(task) == 0) out.waiting.push_back(task);
+    }
+    // A gang restarts once its old attempt is gone; before it has started, it takes replacements.
+    if (spec.gang && !one.attempts.empty() && !out.waiting.empty() &&
+        (one.gang_started || !joinable))
+      out.held_back = true;
+  }
+  for (const auto& [machine, count] : one.errors) out.avoid.insert(machine);
+  return out;
+}
+
+admission::snapshot term::picture() {
+  admission::snapshot world;
+  world.now = runtime_.now();
+  world.types = fleet_.types();
+  for (const auto& team : platform_.teams)
+    world.teams.push_back({team.name, team.cpus, team.cpus_max, team.gpus, team.gpus_max});
+  std::map<std::string, const admission::machine_type*> types;
+  for (const auto& type : world.types) types[type.name] = &type;
+
+  std::map<std::string, admission::resources> used;
+  for (const auto& [id, one] : book_.all()) {
+    world.jobs.push_back(view(one, team_index_.at(one.spec.team)));
+    for (const auto& [task, entry] : one.attempts) used[entry.machine] += one.spec.need;
+  }
+  for (auto& [name, at] : workers_.all()) {
+    if (!at.reported || types.count(at.where.type) == 0) continue;
+    admission::machine_view machine;
+    machine.name = name;
+    machine.where = at.where;
+    machine.free = types[at.where.type]->size;
+    if (const auto found = used.find(name); found != used.end()) machine.free -= found->second;
+    machine.ready = workers_.takes_tasks(at) && !fleet_.releasing(name);
+    for (const auto& [image, gb] : at.images) machine.images.insert(image);
+    world.machines.push_back(std::move(machine));
+  }
+  for (const auto& coming : fleet_.starting()) {
+    const auto* at = workers_.find(coming.name);
+    if (types.count(coming.where.type) == 0) continue;
+    if (at != nullptr && (at->reported || !at->attempts.empty())) continue;
+    admission::machine_view machine;
+    machine.name = coming.name;
+    machine.where = coming.where;
+    machine.free = types[coming.where.type]->size;
+    machine.starting = true;
+    world.machines.push_back(std::move(machine));
+  }
+  world.refused = fleet_.refused();
+  return world;
+}
+
+/// The world may have moved on since the snapshot: every decision is checked against the present.
+bool term::may_start(const job& one, std::uint32_t task, const workers::worker& at) {
+  if (one.status != job_status::active || one.leaving || one.done.contains(task) ||
+      one.attempts.count(task) != 0)
+    return false;
+  return workers_.takes_tasks(at) && !fleet_.releasing(at.name) &&
+         at.strangers.count({one.spec.id, task}) == 0;
+}
+
+void term::apply(const admission::decisions& made) {
+  expected_ = made.expected;
+  for (std::size_t i = 0; i < made.starts.size();) {
+    const std::string& id = made.starts[i].job;
+    std::size_t end = i;
+    while (end < made.starts.size() && made.starts[end].job == id) ++end;
+    job* one = book_.find(id);
+    bool all = one != nullptr;
+    std::vector<std::size_t> fine;
+    for (std::size_t k = i; k < end && one != nullptr; ++k) {
+      const auto* at = workers_.find(made.starts[k].machine);
+      if (at != nullptr && may_start(*one, made.starts[k].task, *at)) {
+        fine.push_back(k);
+      } else {
+        all = false;
+      }
+    }
+    i = end;
+    if (one == nullptr || (one->spec.gang && !all)) continue;
+    if (one->spec.gang && one->gang_try == 0) {
+      one->gang_try = one->units[0].next_try;
+      for (auto& unit : one->units) {
+        one->gang_try = std::max(one->gang_try, unit.next_try);
+      }
+    }
+    for (const auto k : fine) {
+      const auto task = made.starts[k].task;
+      auto& unit = one->units[one->unit_of(task)];
+      // A try is never numbered like an earlier one; a gang's members share theirs.
+      const std::uint64_t number = one->spec.gang ? one->gang_try : unit.next_try;
+      unit.next_try = std::max(unit.next_try, number + 1);
+      workers_.place(*one, task, made.starts[k].machine, number);
+      ++numbers_.starts;
+      spdlog::debug("place job={} task={} try={} machine={} term={}", id, task, number,
+                    made.starts[k].machine, token_);
+    }
+  }
+  for (const auto& stop : made.stops) {
+    job* one = book_.find(stop.job);
+    if (one == nullptr) continue;
+    const bool upgrade = stop.reason == admission::stop_reason::upgraded;
+    ++(upgrade ? numbers_.upgrades : numbers_.preemptions);
+    spdlog::info("{} job={} tasks={} for={} term={}", upgrade ? "upgrade" : "preempt", stop.job,
+                 stop.tasks.size(), stop.for_job, token_);
+    const duration grace = one->spec.save + seconds(2);
+    if (one->spec.gang) {
+      workers_.stop_all(*one, grace);
+    } else {
+      workers_.stop(*one, stop.tasks, grace);
+    }
+  }
+  if (!made.rent.empty()) fleet_.want(made.rent);
+}
+
+/// A machine that is about to be taken: what can't finish in time saves and moves.
+void term::drain(workers::worker& at) {
+  const time_point now = runtime_.now();
+  const duration left = *at.notice - (now - at.last_report);
+  const auto held = at.attempts;
+  for (const auto& [id, task] : held) {
+    job* one = book_.find(id);
+    if (one == nullptr) continue;
+    const auto it = one->attempts.find(task);
+    if (it == one->attempts.end() || it->second.stopping) continue;
+    const auto& entry = it->second;
+    const duration ran =
+        entry.phase == attempt_phase::running ? now - entry.running_since : duration::zero();
+    // Notices may be half as long as announced: only what is nearly done may stay.
+    const bool finishes = entry.phase == attempt_phase::running &&
+                          one->spec.estimate - ran < left / 2 &&
+                          left > one->spec.save + drain_slack;
+    if (finishes) continue;
+    const duration grace = one->spec.save + seconds(2);
+    if (one->spec.gang) {
+      workers_.stop_all(*one, grace);
+    } else {
+      workers_.stop(*one, {task}, grace);
+    }
+  }
+}
+
+void term::return_machines() {
+  const time_point now = runtime_.now();
+  const duration silence =
+      rules_.silent_release > duration::zero() ? rules_.silent_release : platform_.worker_lease;
+  for (auto& [name, at] : workers_.all()) {
+    if (fleet_.releasing(name)) continue;
+    if (!at.reported) {
+      // Stored attempts on a machine that was not heard of in this term.
+      if (!at.attempts.empty() && now - started_ > silence) fleet_.release(name, "never heard of");
+      continue;
+    }
+    if (now - at.last_report > silence) {
+      fleet_.release(name, "silent");
+      continue;
+    }
+    if (!at.attempts.empty() || at.strangers_run) continue;
+    if (at.sick) {
+      fleet_.release(name, "sick");
+      continue;
+    }
+    if (expected_.count(name) != 0 || now - at.idle_since < rules_.idle_return) continue;
+    const auto known = fleet_.all().find(name);
+    if (known != fleet_.all().end() && now - known->second.rented < least_paid) continue;
+    fleet_.release(name, "idle");
+  }
+}
+
+void term::tick() {
+  tick_timer_ = runtime_.after(tick_period, [this] { tick(); });
+  if (!ready_) return;
+  workers_.check_leases();
+  for (auto& [name, at] : workers_.all()) {
+    if (at.notice) drain(at);
+  }
+  if (events_.valid()) return_machines();
+  changed();
+}
+
+nlohmann::json term::status() const {
+  std::size_t reporting = 0;
+  for (const auto& [name, at] : workers_.all()) reporting += workers_.silent(at) ? 0 : 1;
+  return {{"token", token_},
+          {"ready", ready_},
+          {"jobs", book_.all().size()},
+          {"unstored", book_.backlog()},
+          {"machines", fleet_.all().size()},
+          {"workers_reporting", reporting}};
+}
+
+}  // namespace gingerdrift::daemon
--- /dev/null
+++ b/src/daemon/term.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <memory>
+
+#include "daemon/metrics.hpp"
+#include "daemon/planner.hpp"
+#include "daemon/settings.hpp"
+#include "fleet/inventory.hpp"
+#include "front/front.hpp"
+#include "store/job_book.hpp"
+#include "workers/registry.hpp"
+
+namespace gingerdrift::daemon {
+
+/// How long a leader that lost the store may still keep workers alive.
+duration keeper_grace(const platform_settings& platform);
+
+/// One term of leadership: everything the leader knows, rebuilt from the store, and the loop that
+/// turns it into decisions. Gone when the term ends.
+class term {
+ public:
+  struct hooks {
+    std::function<void()> deposed;
+    std::function<bool()> valid;
+    std::function<void(const std::string&, store::job_status)> finished;
+    std::function<bool(const std::string&)> finished_before;
+  };
+  term(net::runtime& runtime, store::client& store, const platform_settings& platform,
+       const operator_settings& rules, std::uint64_t token, const store::condition& leader,
+       std::vector<admission::machine_type> types, planner& plans, metrics& numbers, hooks events);
+  ~term();
+  term(const term&) = delete;
+  term& operator=(const term&) = delete;
+
+  void start();
+  bool ready() const { return ready_; }
+  std::string report(const workers::report& said);
+  std::optional<front::progress> known(const std::string& id);
+  void cancel(const std::string& id, std::function<void(std::optional<store::job_status>)> done);
+  /// A job may be new in the store: read it.
+  void look_up(const std::string& id);
+  nlohmann::json status() const;
+  /// When workers were last heard; the start of the term if never.
+  time_point last_report() const { return last_report_; }
+  bool expects_workers() const;
+  std::vector<admission::machine_type> types() const { return fleet_.types(); }
+
+ private:
+  void load(const std::string& prefix, const std::string& after);
+  void loaded();
+  void follow();
+  void take_in(const store::entry& found);
+  void changed();
+  void pass();
+  admission::snapshot picture();
+  admission::job_view view(const store::job& one, std::size_t team) const;
+  void apply(const admission::decisions& made);
+  bool may_start(const store::job& one, std::uint32_t task, const workers::worker& at);
+  void tick();
+  void drain(workers::worker& at);
+  void return_machines();
+
+  net::runtime& runtime_;
+  store::client& store_;
+  const platform_settings& platform_;
+  const operator_settings& rules_;
+  std::uint64_t token_;
+  planner& plans_;
+  metrics& numbers_;
+  hooks events_;
+  store::job_book book_;
+  workers::registry workers_;
+  fleet::inventory fleet_;
+  std::map<std::string, std::size_t> team_index_;
+  bool ready_ = false;
+  bool loading_ = true;
+  std::uint64_t watch_from_ = 0;
+  std::set<std::string> looking_;
+  std::set<std::string> expected_;
+  bool planning_ = false;
+  bool dirty_ = false;
+  time_point last_pass_{};
+  time_point started_;
+  time_point last_report_;
+  net::timer_id pass_timer_ = 0;
+  net::timer_id tick_timer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace gingerdrift::daemon
--- /dev/null
+++ b/src/fleet/inventory.cpp
@@ -0,0 +1,333 @@
+#include "fleet/inventory.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace gingerdrift::fleet {
+
+namespace {
+constexpr auto tick_period = milliseconds(250);
+constexpr auto list_period = seconds(3);
+constexpr auto types_period = seconds(60);
+constexpr auto call_deadline = seconds(4);
+constexpr auto trouble_pause = seconds(2);
+constexpr std::uint32_t most_per_rental = 50;
+constexpr std::size_t most_per_release = 100;
+/// An unanswered rental is repeated under its name: that rents nothing twice.
+constexpr std::uint32_t most_rental_tries = 8;
+/// The settings allow for this share of the cloud's limit; other controllers ask for types.
+constexpr double budget_share = 0.75;
+}  // namespace
+
+inventory::inventory(net::runtime& runtime, options how, std::uint64_t token, hooks events)
+    : runtime_(runtime),
+      how_(std::move(how)),
+      token_(token),
+      events_(std::move(events)),
+      budget_(how_.rps * budget_share) {}
+
+inventory::~inventory() {
+  *alive_ = false;
+  runtime_.cancel(timer_);
+}
+
+void inventory::start() { tick(); }
+
+void inventory::set_types(std::vector<admission::machine_type> types) { types_ = std::move(types); }
+
+duration inventory::boot_time(const std::string& type) const {
+  for (const auto& one : types_) {
+    if (one.name == type) return one.boot;
+  }
+  return seconds(60);
+}
+
+bool inventory::may_call() {
+  const time_point now = runtime_.now();
+  return now >= quiet_until_ && events_.valid() && budget_.take(now);
+}
+
+/// Names never recur, so a machine that is gone need not be looked at again.
+void inventory::depart(const std::string& name) {
+  machines_.erase(name);
+  departed_[name] = runtime_.now();
+}
+
+void inventory::trouble() { quiet_until_ = runtime_.now() + trouble_pause; }
+
+void inventory::tick() {
+  timer_ = runtime_.after(tick_period, [this] { tick(); });
+  const time_point now = runtime_.now();
+  std::erase_if(departed_, [&](const auto& item) {
+    return now - item.second > how_.list_lag * 3 + seconds(60);
+  });
+  send_releases();
+  send_rentals();
+  if (!listing_ && now >= next_list_ && may_call()) {
+    listing_ = true;
+    next_list_ = now + list_period;
+    list("", {}, now);
+  }
+  if (now >= next_types_ && may_call()) {
+    next_types_ = now + types_period;
+    refresh_types();
+  }
+  // Machines that never come up stay on the bill until they are returned.
+  std::vector<std::string> hopeless;
+  for (const auto& [name, one] : machines_) {
+    if (one.releasing || one.reports) continue;
+    if (one.status == machine_status::failed) hopeless.push_back(name);
+    const duration patience =
+        from_seconds(to_seconds(boot_time(one.where.type)) * how_.boot_patience);
+    const bool late = one.status == machine_status::starting && now - one.rented > patience;
+    const bool silent = one.status == machine_status::running &&
+                        one.running_since != time_point{} && now - one.running_since > how_.silence;
+    if (late || silent) hopeless.push_back(name);
+  }
+  for (const auto& name : hopeless) release(name, "never came up");
+}
+
+void inventory::refresh_types() {
+  runtime_.call(how_.cloud, {"GET", "/flavors", ""}, call_deadline,
+                [this, alive = alive_](const net::response& reply) {
+                  if (!*alive) return;
+                  const auto types = reply.status == 200 ? read_types(reply.body) : std::nullopt;
+                  if (types && !types->empty()) {
+                    types_ = *types;
+                    events_.changed();
+                  } else {
+                    next_types_ = runtime_.now() + trouble_pause * 2;
+                  }
+                });
+}
+
+void inventory::list(const std::string& after, std::set<std::string> seen, time_point started) {
+  std::string target = "/rentals?most=500";
+  if (!after.empty()) target += "&from=" + after;
+  runtime_.call(
+      how_.cloud, {"GET", target, ""}, call_deadline,
+      [this, seen = std::move(seen), started, alive = alive_](const net::response& reply) mutable {
+        if (!*alive) return;
+        const auto page = reply.status == 200 ? read_machines(reply.body) : std::nullopt;
+        if (!page) {
+          if (reply.status == 200) spdlog::error("cloud: malformed machine list dropped");
+          listing_ = false;
+          trouble();
+          return;
+        }
+        const time_point now = runtime_.now();
+        for (const auto& item : page->machines) {
+          seen.insert(item.name);
+          if (departed_.count(item.name) != 0) continue;
+          auto [found, fresh] = machines_.try_emplace(item.name);
+          machine& one = found->second;
+          if (fresh) {
+            one.name = item.name;
+            one.rented = now - item.age;
+          }
+          one.where = item.where;
+          one.listed = true;
+          one.missing_since = {};
+          if (item.status == machine_status::failed && one.status != machine_status::failed) {
+            one.status = machine_status::failed;
+            spdlog::info("machine failed machine={}", one.name);
+            events_.gone(one.name, "listed as failed");
+            release(one.name, "failed");
+          } else if (one.status != machine_status::failed && !one.reports) {
+            one.status = item.status;
+            if (one.status == machine_status::running && one.running_since == time_point{})
+              one.running_since = now;
+          }
+        }
+        if (page->more && !page->machines.empty()) {
+          // The rest of the list counts as a call like any other.
+          const std::string last = page->machines.back().name;
+          if (may_call()) {
+            list(last, std::move(seen), started);
+            return;
+          }
+          listing_ = false;
+          return;
+        }
+        listing_ = false;
+        finish_list(seen, started);
+        events_.changed();
+      });
+}
+
+/// A machine that was listed stays listed until it is gone, but a list may be up to twice the lag
+/// old, and older than the one before: only a longer absence is proof.
+void inventory::finish_list(const std::set<std::string>& seen, time_point started) {
+  const time_point now = runtime_.now();
+  const duration proof = how_.list_lag * 2 + seconds(2);
+  std::vector<std::string> gone;
+  for (auto& [name, one] : machines_) {
+    if (seen.count(name) != 0) continue;
+    if (one.missing_since == time_point{}) one.missing_since = started;
+    const duration missing = now - one.missing_since;
+    if (one.listed ? missing > proof : missing > proof * 2 + seconds(10) && !one.reports)
+      gone.push_back(name);
+  }
+  for (const auto& name : gone) {
+    spdlog::info("machine is gone machine={} proof=\"no longer listed\"", name);
+    const bool was_listed = machines_.at(name).listed;
+    depart(name);
+    if (was_listed) events_.gone(name, "no longer listed");
+  }
+}
+
+void inventory::heard(const std::string& name, const admission::pool& where) {
+  if (departed_.count(name) != 0) return;
+  auto [found, fresh] = machines_.try_emplace(name);
+  machine& one = found->second;
+  if (fresh) {
+    one.name = name;
+    one.rented = runtime_.now();
+  }
+  one.where = where;
+  if (!one.reports) {
+    spdlog::debug("machine is up machine={} after_s={:.1f}", name,
+                  to_seconds(runtime_.now() - one.rented));
+  }
+  one.reports = true;
+  if (one.status != machine_status::failed) one.status = machine_status::running;
+}
+
+std::set<admission::pool> inventory::refused() const {
+  std::set<admission::pool> out;
+  for (const auto& [where, until] : refused_) {
+    if (runtime_.now() < until) out.insert(where);
+  }
+  return out;
+}
+
+std::vector<machine> inventory::starting() const {
+  std::vector<machine> out;
+  for (const auto& [name, one] : machines_) {
+    if (!one.reports && !one.releasing && one.status != machine_status::failed) out.push_back(one);
+  }
+  for (const auto& [name, asked] : rentals_) {
+    for (std::uint32_t i = 0; i < asked.count; ++i) {
+      machine one;
+      one.name = asked.name + "#" + std::to_string(i);
+      one.where = asked.where;
+      out.push_back(std::move(one));
+    }
+  }
+  return out;
+}
+
+void inventory::want(const std::map<admission::pool, std::uint32_t>& missing) {
+  std::size_t held = machines_.size();
+  for (const auto& [name, asked] : rentals_) held += asked.count;
+  for (const auto& [where, count] : missing) {
+    const auto room = how_.machines_max > held ? how_.machines_max - held : 0;
+    const auto asked =
+        static_cast<std::uint32_t>(std::min<std::size_t>({count, room, most_per_rental}));
+    if (asked == 0) continue;
+    bool pending = false;
+    for (const auto& [name, one] : rentals_) pending = pending || one.where == where;
+    if (pending) continue;
+    // The token is this term's alone, the counter this request's: names never recur.
+    rental one;
+    one.name = "gd-" + std::to_string(token_) + "-" + std::to_string(next_rental_++);
+    one.where = where;
+    one.count = asked;
+    held += asked;
+    spdlog::info("renting ask={} type={} zone={} spot={} count={}", one.name, where.type,
+                 where.zone, where.spot, asked);
+    rentals_[one.name] = one;
+  }
+  send_rentals();
+}
+
+void inventory::send_rentals() {
+  const time_point now = runtime_.now();
+  for (auto& [name, one] : rentals_) {
+    if (one.in_flight || now < one.next || !may_call()) continue;
+    one.in_flight = true;
+    ++one.tries;
+    runtime_.call(how_.cloud, {"POST", "/rentals", write_rent(one.name, one.where, one.count)},
+                  call_deadline,
+                  [this, key = one.name, alive = alive_](const net::response& reply) {
+                    if (!*alive) return;
+                    const auto found = rentals_.find(key);
+                    if (found == rentals_.end()) return;
+                    rental& asked = found->second;
+                    asked.in_flight = false;
+                    const time_point moment = runtime_.now();
+                    const auto names = reply.status == 200 ? read_rented(reply.body) : std::nullopt;
+                    if (names) {
+                      for (const auto& host : *names) {
+                        auto [at, fresh] = machines_.try_emplace(host);
+                        if (!fresh) continue;
+                        at->second.name = host;
+                        at->second.where = asked.where;
+                        at->second.rented = moment;
+                      }
+                      if (names->size() < asked.count)
+                        refused_[asked.where] = moment + how_.refusal_backoff;
+                      rentals_.erase(found);
+                      events_.changed();
+                      return;
+                    }
+                    if (reply.status == 503 && says_no_capacity(reply.body)) {
+                      spdlog::info("no capacity type={} zone={} spot={}", asked.where.type,
+                                   asked.where.zone, asked.where.spot);
+                      refused_[asked.where] = moment + how_.refusal_backoff;
+                      rentals_.erase(found);
+                      events_.changed();
+                      return;
+                    }
+                    if (reply.status == 400 || asked.tries >= most_rental_tries) {
+                      // What it may have rented all the same shows in the list and is used or
+                      // returned.
+                      rentals_.erase(found);
+                      return;
+                    }
+                    asked.next = moment + trouble_pause;
+                    trouble();
+                  });
+  }
+}
+
+void inventory::release(const std::string& name, const char* why) {
+  if (departed_.count(name) != 0) return;
+  auto [found, fresh] = machines_.try_emplace(name);
+  if (found->second.releasing) return;
+  if (fresh) {
+    found->second.name = name;
+    found->second.rented = runtime_.now();
+  }
+  found->second.releasing = true;
+  spdlog::info("returning machine={} why=\"{}\"", name, why);
+}
+
+bool inventory::releasing(const std::string& name) const {
+  const auto found = machines_.find(name);
+  return found != machines_.end() && found->second.releasing;
+}
+
+void inventory::send_releases() {
+  if (release_in_flight_) return;
+  std::vector<std::string> names;
+  for (const auto& [name, one] : machines_) {
+    if (one.releasing && names.size() < most_per_release) names.push_back(name);
+  }
+  if (names.empty() || !may_call()) return;
+  release_in_flight_ = true;
+  runtime_.call(how_.cloud, {"POST", "/rentals/release", write_release(names)}, call_deadline,
+                [this, names, alive = alive_](const net::response& reply) {
+                  if (!*alive) return;
+                  release_in_flight_ = false;
+                  if (reply.status != 200) {
+                    trouble();
+                    return;
+                  }
+                  for (const auto& name : names) {
+                    depart(name);
+                    events_.gone(name, "released");
+                  }
+                });
+}
+
+}  // namespace gingerdrift::fleet
--- /dev/null
+++ b/src/fleet/inventory.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "fleet/wire.hpp"
+#include "net/transport.hpp"
+#include "store/rate_budget.hpp"
+
+namespace gingerdrift::fleet {
+
+struct options {
+  std::string cloud;
+  double rps = 2;
+  duration list_lag = seconds(5);
+  duration refusal_backoff = seconds(10);
+  double boot_patience = 3;
+  duration silence = seconds(30);  // a running machine nobody hears of is returned after this
+  std::uint32_t machines_max = 1000;
+};
+
+/// A machine as the cloud shows it.
+struct machine {
+  std::string name;
+  admission::pool where;
+  machine_status status = machine_status::starting;
+  time_point rented{};         // by our clock
+  bool listed = false;         // at least once
+  time_point missing_since{};  // of the lists since
+  bool releasing = false;
+  bool reports = false;        // its worker was heard in this term
+  time_point running_since{};  // first shown as running
+};
+
+/// Rents, lists and returns machines, within the cloud's request budget.
+class inventory {
+ public:
+  struct hooks {
+    std::function<void(const std::string& machine, const char* proof)> gone;
+    std::function<void()> changed;
+    std::function<bool()> valid;
+  };
+  inventory(net::runtime& runtime, options how, std::uint64_t token, hooks events);
+  ~inventory();
+  inventory(const inventory&) = delete;
+  inventory& operator=(const inventory&) = delete;
+
+  void start();
+  /// A worker reported: its machine is up, whatever the list says.
+  void heard(const std::string& name, const admission::pool& where);
+  /// Machines that are missing, beyond those starting.
+  void want(const std::map<admission::pool, std::uint32_t>& missing);
+  void release(const std::string& name, const char* why);
+  bool releasing(const std::string& name) const;
+  /// Proven gone in this term: what still arrives from it is old.
+  bool departed(const std::string& name) const { return departed_.count(name) != 0; }
+  std::set<admission::pool> refused() const;
+  /// Machines on their way: rented or asked for, not heard of yet.
+  std::vector<machine> starting() const;
+  const std::map<std::string, machine>& all() const { return machines_; }
+  void set_types(std::vector<admission::machine_type> types);
+  const std::vector<admission::machine_type>& types() const { return types_; }
+
+ private:
+  struct rental {
+    std::string name;
+    admission::pool where;
+    std::uint32_t count = 0;
+    bool in_flight = false;
+    std::uint32_t tries = 0;
+    time_point next{};
+  };
+  void tick();
+  void refresh_types();
+  void list(const std::string& after, std::set<std::string> seen, time_point started);
+  void finish_list(const std::set<std::string>& seen, time_point started);
+  void send_rentals();
+  void send_releases();
+  bool may_call();
+  void trouble();
+  void depart(const std::string& name);
+  duration boot_time(const std::string& type) const;
+
+  net::runtime& runtime_;
+  options how_;
+  std::uint64_t token_;
+  hooks events_;
+  store::rate_budget budget_;
+  std::map<std::string, machine> machines_;
+  std::map<std::string, rental> rentals_;
+  std::map<admission::pool, time_point> refused_;
+  std::map<std::string, time_point> departed_;  // lists may show them for a while yet
+  std::vector<admission::machine_type> types_;
+  std::uint64_t next_rental_ = 1;
+  time_point quiet_until_{};
+  time_point next_list_{};
+  time_point next_types_{};
+  bool listing_ = false;
+  bool release_in_flight_ = false;
+  net::timer_id timer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace gingerdrift::fleet
--- /dev/null
+++ b/src/fleet/wire.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "admission/types.hpp"
+
+namespace gingerdrift::fleet {
+
+enum class machine_status : std::uint8_t { starting, running, failed };
+
+struct listed_machine {
+  std::string name;
+  std::string address;
+  admission::pool where;
+  machine_status status = machine_status::starting;
+  duration age{};
+};
+struct machine_page {
+  std::vector<listed_machine> machines;
+  bool more = false;
+};
+
+/// Empty when the text is not what the cloud promised.
+std::optional<std::vector<admission::machine_type>> read_types(const std::string& text);
+std::optional<machine_page> read_machines(const std::string& text);
+std::optional<std::vector<std::string>> read_rented(const std::string& text);
+bool says_no_capacity(const std::string& text);
+std::string write_rent(const std::string& name, const admission::pool& where, std::uint32_t count);
+std::string write_release(const std::vector<std::string>& names);
+std::string write_types(const std::vector<admission::machine_type>& types);
+
+}  // namespace gingerdrift::fleet
--- /dev/null
+++ b/src/leadership/elector.cpp
@@ -0,0 +1,202 @@
+#include "leadership/elector.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace gingerdrift::leadership {
+
+namespace {
+const char* const leader_key = "gd/leader";
+const char* const token_key = "gd/token";
+constexpr auto watch_time = seconds(8);
+/// The steady clocks of two machines drift apart by 0.05% at most; some slack for timers on top.
+constexpr double drift = 0.001;
+constexpr auto margin = milliseconds(100);
+}  // namespace
+
+elector::elector(net::runtime& runtime, store::client& store, options how, std::uint64_t seed,
+                 hooks events)
+    : runtime_(runtime),
+      store_(store),
+      how_(std::move(how)),
+      events_(std::move(events)),
+      random_(seed),
+      incarnation_(std::to_string(random_())) {}
+
+elector::~elector() {
+  *alive_ = false;
+  runtime_.cancel(timer_);
+  runtime_.cancel(keeper_);
+}
+
+duration elector::jitter(duration most) {
+  std::uniform_real_distribution<double> spread(0.0, to_seconds(most));
+  return from_seconds(spread(random_));
+}
+
+void elector::start() { look(); }
+
+bool elector::valid() const { return in_office_ && runtime_.now() < valid_until_; }
+
+bool elector::keeps_workers() const {
+  return in_office_ && runtime_.now() < valid_until_ + how_.keeper_grace;
+}
+
+void elector::look_later(duration delay) {
+  runtime_.cancel(timer_);
+  timer_ = runtime_.after(delay, [this] {
+    timer_ = 0;
+    look();
+  });
+}
+
+void elector::look() {
+  if (in_office_) return;
+  store_.get(leader_key, [this, alive = alive_](const store::result& answer) {
+    if (!*alive || in_office_) return;
+    if (answer.status == 404) {
+      leader_.node.clear();
+      if (runtime_.now() < stand_back_until_) {
+        look_later(milliseconds(300));
+        return;
+      }
+      campaign(0);
+      return;
+    }
+    if (!answer.ok() || answer.entries.empty()) {
+      look_later(milliseconds(200) + jitter(milliseconds(200)));
+      return;
+    }
+    const auto& entry = answer.entries.front();
+    try {
+      leader_.node = entry.value.at("node").get<std::string>();
+      leader_.token = entry.value.at("token").get<std::uint64_t>();
+      const auto incarnation = entry.value.at("incarnation").get<std::string>();
+      if (leader_.node == how_.node && incarnation != incarnation_) {
+        // Our former process held it; that process has ended, since one runs per node. Taking its
+        // key over at once saves waiting for its lease to run out.
+        leader_.node.clear();
+        campaign(entry.version);
+        return;
+      }
+      if (leader_.node == how_.node) {
+        // A campaign of ours that went unanswered was applied late. Its lease is not renewed.
+        leader_.node.clear();
+        look_later(milliseconds(200));
+        return;
+      }
+    } catch (const std::exception& error) {
+      spdlog::error("leader record is malformed: {}", error.what());
+    }
+    watch(entry.version);
+  });
+}
+
+void elector::watch(std::uint64_t from) {
+  store_.watch(leader_key, from, watch_time, [this, alive = alive_](const store::result& answer) {
+    if (!*alive || in_office_) return;
+    // Whatever the watch brought is looked up anew: it may be old.
+    const bool prompt = answer.ok() && !answer.entries.empty();
+    look_later(prompt ? jitter(milliseconds(30)) : milliseconds(50) + jitter(milliseconds(100)));
+  });
+}
+
+void elector::campaign(std::uint64_t stale_version) {
+  store_.grant(how_.lease, [this, stale_version, alive = alive_](const store::result& granted) {
+    if (!*alive || in_office_) return;
+    if (!granted.ok() || granted.lease == 0) {
+      look_later(milliseconds(200) + jitter(milliseconds(200)));
+      return;
+    }
+    take(granted.lease, granted.sent, stale_version);
+  });
+}
+
+void elector::take(std::uint64_t lease, time_point sent, std::uint64_t stale_version) {
+  store_.get(token_key, [this, lease, sent, stale_version,
+                         alive = alive_](const store::result& current) {
+    if (!*alive || in_office_) return;
+    std::uint64_t token = 1;
+    std::uint64_t version = 0;
+    if (current.ok() && !current.entries.empty()) {
+      token = current.entries.front().value.value("token", std::uint64_t{0}) + 1;
+      version = current.entries.front().version;
+    } else if (current.status != 404) {
+      store_.drop(lease, [](const store::result&) {});
+      look_later(milliseconds(200) + jitter(milliseconds(200)));
+      return;
+    }
+    const store::json record = {
+        {"node", how_.node}, {"token", token}, {"incarnation", incarnation_}};
+    store_.txn({{leader_key, stale_version}, {token_key, version}},
+               {{leader_key, record, lease, false}, {token_key, {{"token", token}}, 0, false}},
+               [this, lease, sent, token, alive](const store::result& answer) {
+                 if (!*alive || in_office_) return;
+                 if (!answer.ok()) {
+                   // It may still be applied: without its lease it can't be, or won't last.
+                   store_.drop(lease, [](const store::result&) {});
+                   look_later(milliseconds(50) + jitter(milliseconds(150)));
+                   return;
+                 }
+                 in_office_ = true;
+                 ++term_;
+                 token_ = token;
+                 lease_ = lease;
+                 condition_ = {leader_key, answer.revision};
+                 leader_ = {how_.node, token};
+                 valid_until_ = sent + from_seconds(to_seconds(how_.lease) * (1 - drift)) - margin;
+                 spdlog::info("elected term={} lease={}", token_, lease_);
+                 keep();
+                 events_.elected(token_, condition_);
+               });
+  });
+}
+
+void elector::keep() {
+  const duration period = how_.lease / 5;
+  keeper_ = runtime_.after(period, [this, period] {
+    keeper_ = 0;
+    if (!in_office_) return;
+    if (!keeps_workers()) {
+      step_down("the store was out of reach for too long");
+      return;
+    }
+    const auto term = term_;
+    store_.renew(lease_, period * 2, [this, term, alive = alive_](const store::result& answer) {
+      if (!*alive || !in_office_ || term != term_) return;
+      if (answer.ok()) {
+        const bool back = !valid();
+        valid_until_ =
+            std::max(valid_until_,
+                     answer.sent + from_seconds(to_seconds(how_.lease) * (1 - drift)) - margin);
+        if (back && valid()) spdlog::info("lease held again term={}", token_);
+      } else if (answer.status == 404) {
+        step_down("the lease has ended");
+      } else {
+        spdlog::info("lease not renewed term={} status={}", token_, answer.status);
+      }
+    });
+    keep();
+  });
+}
+
+void elector::found_deposed() { step_down("the leader key is another's"); }
+
+void elector::resign(duration stand_back) {
+  if (!in_office_) return;
+  stand_back_until_ = runtime_.now() + stand_back;
+  store_.drop(lease_, [](const store::result&) {});
+  step_down("resigned");
+}
+
+void elector::step_down(const char* why) {
+  if (!in_office_) return;
+  spdlog::info("stepping down term={}: {}", token_, why);
+  in_office_ = false;
+  leader_ = {};
+  runtime_.cancel(keeper_);
+  keeper_ = 0;
+  events_.deposed();
+  look_later(milliseconds(50) + jitter(milliseconds(150)));
+}
+
+}  // namespace gingerdrift::leadership
--- /dev/null
+++ b/src/leadership/elector.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "store/client.hpp"
+
+namespace gingerdrift::leadership {
+
+/// What is known of the leader, by any controller.
+struct leader_view {
+  std::string node;  // empty: nobody known
+  std::uint64_t token = 0;
+};
+
+struct options {
+  std::string node;
+  duration lease = seconds(4);
+  /// How long a leader cut off from the store may still keep workers alive: cancel_s - lease_s
+  /// after its lease has run out, a successor's cancellation could outlast them.
+  duration keeper_grace = seconds(10);
+};
+
+/// Leadership by a key attached to a lease of the store. Taking it raises the fencing token in
+/// the same transaction. The lease counts from when its renewal was sent, less clock drift.
+class elector {
+ public:
+  struct hooks {
+    /// The token is in force; the condition is to go with every transaction of this term.
+    std::function<void(std::uint64_t token, store::condition leader)> elected;
+    std::function<void()> deposed;
+  };
+  elector(net::runtime& runtime, store::client& store, options how, std::uint64_t seed,
+          hooks events);
+  ~elector();
+  elector(const elector&) = delete;
+  elector& operator=(const elector&) = delete;
+
+  void start();
+  /// In office, with a lease that is surely held: may answer from memory and start work.
+  bool valid() const;
+  /// In office, or out of reach of the store for so short a time that keeping workers is safe.
+  bool keeps_workers() const;
+  bool in_office() const { return in_office_; }
+  std::uint64_t token() const { return token_; }
+  const leader_view& leader() const { return leader_; }
+  /// Gives the office up (a leader the workers can't reach) and stands back for a while.
+  void resign(duration stand_back);
+  void found_deposed();
+
+ private:
+  void look();
+  void look_later(duration delay);
+  void watch(std::uint64_t from);
+  void campaign(std::uint64_t stale_version);
+  void take(std::uint64_t lease, time_point sent, std::uint64_t stale_version);
+  void keep();
+  void step_down(const char* why);
+  duration jitter(duration most);
+
+  net::runtime& runtime_;
+  store::client& store_;
+  options how_;
+  hooks events_;
+  std::mt19937_64 random_;
+  std::string incarnation_;
+  leader_view leader_;
+  bool in_office_ = false;
+  std::uint64_t token_ = 0;
+  std::uint64_t lease_ = 0;
+  store::condition condition_;
+  time_point valid_until_{};
+  time_point stand_back_until_{};
+  net::timer_id timer_ = 0;
+  net::timer_id keeper_ = 0;
+  std::uint64_t term_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace gingerdrift::leadership
--- /dev/null
+++ b/src/store/job.cpp
@@ -0,0 +1,179 @@
+#include "store/job.hpp"
+
+#include <stdexcept>
+
+namespace gingerdrift::store {
+
+using json = nlohmann::json;
+
+const char* const head_prefix = "gd/job/";
+const char* const part_prefix = "gd/part/";
+
+std::string head_key(const std::string& id) { return head_prefix + id; }
+std::string final_key(const std::string& id) { return "gd/final/" + id; }
+std::string part_key(const std::string& id, std::size_t part) {
+  return part_prefix + id + "/" + std::to_string(part);
+}
+
+const char* status_name(job_status status) {
+  switch (status) {
+    case job_status::done:
+      return "done";
+    case job_status::cancelled:
+      return "cancelled";
+    case job_status::active:
+      break;
+  }
+  return "active";
+}
+
+std::optional<job_status> read_final(const json& record) {
+  const std::string text = record.at("status").get<std::string>();
+  if (text == "done") return job_status::done;
+  if (text == "cancelled") return job_status::cancelled;
+  return std::nullopt;
+}
+
+namespace {
+
+json write_spec(const job_spec& spec) {
+  json out = {
+      {"id", spec.id},
+      {"lane", spec.lane},
+      {"team", spec.team},
+      {"gang", spec.gang},
+      {"level", static_cast<int>(spec.level)},
+      {"tasks", spec.tasks},
+      {"need", {spec.need.cpus, spec.need.gpus, spec.need.memory_gb}},
+      {"zone", spec.zone},
+      {"rules", {spec.one_zone, spec.spread, spec.spot}},
+      {"image", spec.image},
+      {"image_gb", spec.image_gb},
+      {"times", {to_seconds(spec.estimate), to_seconds(spec.checkpoint), to_seconds(spec.save)}}};
+  if (!spec.any_type) out["types"] = spec.types;
+  if (spec.due) out["due"] = to_seconds(*spec.due);
+  return out;
+}
+
+job_spec read_spec(const json& in) {
+  job_spec spec;
+  spec.id = in.at("id").get<std::string>();
+  spec.lane = in.at("lane").get<std::string>();
+  spec.team = in.at("team").get<std::string>();
+  spec.gang = in.at("gang").get<bool>();
+  spec.level = static_cast<admission::priority>(in.at("level").get<int>());
+  spec.tasks = in.at("tasks").get<std::uint32_t>();
+  spec.need = {in.at("need").at(0).get<double>(), in.at("need").at(1).get<double>(),
+               in.at("need").at(2).get<double>()};
+  spec.zone = in.at("zone").get<std::string>();
+  spec.one_zone = in.at("rules").at(0).get<bool>();
+  spec.spread = in.at("rules").at(1).get<bool>();
+  spec.spot = in.at("rules").at(2).get<bool>();
+  spec.image = in.at("image").get<std::string>();
+  spec.image_gb = in.at("image_gb").get<double>();
+  spec.estimate = from_seconds(in.at("times").at(0).get<double>());
+  spec.checkpoint = from_seconds(in.at("times").at(1).get<double>());
+  spec.save = from_seconds(in.at("times").at(2).get<double>());
+  if (in.contains("types")) {
+    spec.any_type = false;
+    spec.types = in["types"].get<std::vector<std::string>>();
+  }
+  if (in.contains("due")) spec.due = from_seconds(in["due"].get<double>());
+  return spec;
+}
+
+/// The attempts and finished tasks of one unit; finished tasks as ranges.
+void write_tasks(const job& one, std::size_t unit, json& out) {
+  const std::uint32_t first =
+      unit == 0 ? 0 : static_cast<std::uint32_t>(unit - 1) * job::unit_tasks;
+  const std::uint32_t last = std::min(first + job::unit_tasks, one.spec.tasks) - 1;
+  out["next_try"] = one.units[unit].next_try;
+  json done = json::array();
+  auto range = one.done.ranges().upper_bound(first);
+  if (range != one.done.ranges().begin()) --range;
+  for (; range != one.done.ranges().end() && range->first <= last; ++range) {
+    if (range->second < first) continue;
+    done.push_back({std::max(range->first, first), std::min(range->second, last)});
+  }
+  if (!done.empty()) out["done"] = std::move(done);
+  json attempts = json::array();
+  for (auto it = one.attempts.lower_bound(first); it != one.attempts.end() && it->first <= last;
+       ++it) {
+    attempts.push_back({it->first, it->second.number, it->second.machine, it->second.session});
+  }
+  if (!attempts.empty()) out["attempts"] = std::move(attempts);
+}
+
+void read_tasks(job& one, std::size_t unit, const json& in) {
+  auto& state = one.units[unit];
+  state.next_try = in.at("next_try").get<std::uint64_t>();
+  if (in.contains("done")) {
+    for (const auto& range : in["done"]) {
+      const auto first = range.at(0).get<std::uint32_t>();
+      const auto last = range.at(1).get<std::uint32_t>();
+      if (first > last || last >= one.spec.tasks) throw std::invalid_argument("done range");
+      one.done.insert_range(first, last);
+    }
+  }
+  if (in.contains("attempts")) {
+    for (const auto& item : in["attempts"]) {
+      attempt entry;
+      entry.number = item.at(1).get<std::uint64_t>();
+      entry.machine = item.at(2).get<std::string>();
+      entry.session = item.at(3).get<std::uint64_t>();
+      entry.phase = attempt_phase::sent;  // an earlier leader may have sent it
+      one.attempts[item.at(0).get<std::uint32_t>()] = entry;
+      one.gang_try = std::max(one.gang_try, entry.number);
+    }
+  }
+}
+
+}  // namespace
+
+json write_head(const job& one) {
+  json out = {{"spec", write_spec(one.spec)},
+              {"created", one.created_ms},
+              {"status", status_name(one.status)}};
+  if (!one.large()) write_tasks(one, 0, out);
+  return out;
+}
+
+json write_part(const job& one, std::size_t unit) {
+  json out = json::object();
+  write_tasks(one, unit, out);
+  return out;
+}
+
+json write_new(const job_spec& spec, std::int64_t created_ms) {
+  job fresh;
+  fresh.spec = spec;
+  fresh.created_ms = created_ms;
+  fresh.units.resize(1);
+  return write_head(fresh);
+}
+
+job read_head(const json& record, std::uint64_t version) {
+  job out;
+  out.spec = read_spec(record.at("spec"));
+  out.created_ms = record.at("created").get<std::int64_t>();
+  if (out.spec.tasks == 0 || out.spec.tasks > 100000) throw std::invalid_argument("tasks");
+  const auto parts =
+      out.large() ? (out.spec.tasks + job::unit_tasks - 1) / job::unit_tasks : std::size_t{0};
+  out.units.resize(1 + parts);
+  for (auto& unit : out.units) unit.stored = unit.mutation;
+  out.units[0].version = version;
+  if (!out.large()) read_tasks(out, 0, record);
+  const std::string status = record.at("status").get<std::string>();
+  if (status == "done") out.status = job_status::done;
+  if (status == "cancelled") out.status = job_status::cancelled;
+  out.status_stored = out.status != job_status::active;
+  return out;
+}
+
+void read_part(job& one, std::size_t unit, const json& record, std::uint64_t version) {
+  if (unit == 0 || unit >= one.units.size()) throw std::invalid_argument("part number");
+  one.units[unit].version = version;
+  read_tasks(one, unit, record);
+}
+
+}  // namespace gingerdrift::store
--- /dev/null
+++ b/src/store/job.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "admission/types.hpp"
+#include "base/range_set.hpp"
+#include "base/time.hpp"
+
+namespace gingerdrift::store {
+
+enum class job_status : std::uint8_t { active, done, cancelled };
+
+/// What the owner asked for. Amounts are per task.
+struct job_spec {
+  std::string id;
+  std::string lane;
+  std::string team;
+  bool gang = false;
+  admission::priority level = admission::priority::standard;
+  std::uint32_t tasks = 1;
+  admission::resources need;
+  bool any_type = true;
+  std::vector<std::string> types;
+  std::string zone;  // empty: any
+  bool one_zone = false;
+  bool spread = false;
+  bool spot = false;
+  std::string image;
+  double image_gb = 0;
+  duration estimate{};
+  duration checkpoint{};
+  duration save{};
+  std::optional<duration> due;
+};
+
+enum class attempt_phase : std::uint8_t {
+  placed,
+  sent,
+  fetching,
+  waiting,
+  running,
+  saving,
+  exited
+};
+
+/// A try of a task on a machine. The first three fields are stored before its `run` is sent.
+struct attempt {
+  std::uint64_t number = 0;
+  std::string machine;
+  std::uint64_t session = 0;
+  // Only in the leader's memory:
+  attempt_phase phase = attempt_phase::placed;
+  std::uint64_t mutation = 0;   // stored once its unit has reached this
+  bool seen = false;            // listed by its worker at least once
+  std::uint64_t sent_tick = 0;  // of the last report that was answered with its `run`
+  bool stopping = false;
+  duration grace{};
+  time_point placed_at{};
+  time_point running_since{};
+};
+
+/// A piece of a job that is written as one key: the head, or a part holding a range of tasks.
+struct record_unit {
+  std::uint64_t version = 0;   // the key's, as far as known
+  std::uint64_t mutation = 1;  // counts changes in memory
+  std::uint64_t stored = 0;    // the newest change that is stored
+  std::uint64_t next_try = 1;
+  bool dirty() const { return stored < mutation; }
+};
+
+/// A job as the leader holds it. Jobs of up to `unit_tasks` tasks are one key; larger ones spill
+/// their attempts and finished ranges into part keys, which keeps every value small.
+struct job {
+  static constexpr std::uint32_t unit_tasks = 48;
+
+  job_spec spec;
+  std::int64_t created_ms = 0;
+  job_status status = job_status::active;
+  std::map<std::uint32_t, attempt> attempts;
+  range_set done;
+  std::vector<record_unit> units;  // [0] the head; parts follow for large jobs
+  bool status_stored = false;      // the store knows the final status
+  bool leaving = false;            // only its final record remains to be written
+  // Failures of its tasks:
+  std::map<std::string, std::uint32_t> errors;  // machine -> count
+  std::uint32_t error_rounds = 0;
+  time_point not_before{};
+  std::uint64_t gang_try = 0;  // of the attempt under way
+  bool gang_started = false;   // some member was seen running
+
+  bool large() const { return spec.tasks > unit_tasks; }
+  std::size_t unit_of(std::uint32_t task) const { return large() ? 1 + task / unit_tasks : 0; }
+  bool attempt_stored(std::uint32_t task, const attempt& one) const {
+    return units[unit_of(task)].stored >= one.mutation;
+  }
+};
+
+std::string head_key(const std::string& id);
+std::string part_key(const std::string& id, std::size_t part);
+std::string final_key(const std::string& id);
+extern const char* const head_prefix;
+extern const char* const part_prefix;
+
+nlohmann::json write_head(const job& one);
+nlohmann::json write_part(const job& one, std::size_t unit);
+nlohmann::json write_new(const job_spec& spec, std::int64_t created_ms);
+/// These throw on records that are not ours to read.
+job read_head(const nlohmann::json& record, std::uint64_t version);
+void read_part(job& one, std::size_t unit, const nlohmann::json& record, std::uint64_t version);
+
+const char* status_name(job_status status);
+std::optional<job_status> read_final(const nlohmann::json& record);
+
+}  // namespace gingerdrift::store
--- /dev/null
+++ b/src/workers/registry.cpp
@@ -0,0 +1,381 @@
+#include "workers/registry.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace gingerdrift::workers {
+
+using store::attempt;
+using store::attempt_phase;
+using store::job;
+using store::job_status;
+
+namespace {
+constexpr auto direct_deadline = seconds(2);
+/// Clocks drift apart by 0.05% at most.
+constexpr double drift = 0.001;
+constexpr auto lease_margin = milliseconds(500);
+constexpr std::uint32_t broken_machines = 3;
+constexpr std::uint32_t most_backoff_doublings = 5;
+}  // namespace
+
+registry::registry(net::runtime& runtime, store::job_book& book, options how, std::uint64_t token,
+                   hooks events)
+    : runtime_(runtime),
+      book_(book),
+      how_(how),
+      token_(token),
+      events_(std::move(events)),
+      term_start_(runtime.now()) {}
+
+registry::~registry() = default;
+
+worker* registry::find(const std::string& machine) {
+  const auto found = workers_.find(machine);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+void registry::adopt(job& one) {
+  for (const auto& [task, entry] : one.attempts) {
+    auto& at = workers_[entry.machine];
+    at.name = entry.machine;
+    at.attempts.emplace(one.spec.id, task);
+  }
+}
+
+bool registry::silent(const worker& one) const {
+  return !one.reported || runtime_.now() - one.last_report > how_.report * 3;
+}
+
+bool registry::takes_tasks(const worker& one) const {
+  return !silent(one) && !one.notice && !one.sick && !one.strangers_run;
+}
+
+std::string registry::handle(const report& said) {
+  auto& from = workers_[said.machine];
+  const time_point now = runtime_.now();
+  std::vector<command> out;
+  from.last_answer = now;
+  from.name = said.machine;
+  from.address = said.address;
+  from.where = said.where;
+  const bool newer = !from.reported || said.session > from.session ||
+                     (said.session == from.session && said.seq > from.seq);
+  // An old report has its list's age: it proves nothing and gets no commands.
+  if (!newer) return write_commands(token_, out);
+  if (!ready_) return write_commands(token_, out);
+  if (!from.reported) from.idle_since = now;
+  const bool was_ready = takes_tasks(from);
+  from.reported = true;
+  from.last_report = now;
+  from.seq = said.seq;
+  from.token = said.token;
+  from.notice = said.notice;
+  if (said.session > from.session) {
+    from.session = said.session;
+    const auto held = from.attempts;
+    for (const auto& [id, task] : held) {
+      job* one = book_.find(id);
+      if (one == nullptr) continue;
+      const auto it = one->attempts.find(task);
+      if (it != one->attempts.end() && it->second.session < said.session)
+        lose(*one, task, "newer session");
+    }
+  }
+  apply(from, said, out);
+  if (takes_tasks(from) != was_ready) events_.changed();
+  return write_commands(token_, out);
+}
+
+void registry::apply(worker& from, const report& said, std::vector<command>& out) {
+  std::set<std::pair<std::string, std::uint32_t>> present;
+  from.strangers.clear();
+  from.strangers_run = false;
+  for (const auto& item : said.tasks) {
+    const auto key = std::make_pair(item.job, item.task);
+    job* one = book_.find(item.job);
+    if (one != nullptr && item.task < one->spec.tasks) {
+      const auto it = one->attempts.find(item.task);
+      if (it != one->attempts.end() && it->second.machine == from.name &&
+          it->second.number == item.number && it->second.session == said.session) {
+        present.insert(key);
+        listed(from, *one, item.task, item);
+        // Its fate may have ended the job: look again below.
+        one = book_.find(item.job);
+      } else if (item.cause == exit_cause::done && one->status == job_status::active &&
+                 !one->done.contains(item.task) && it == one->attempts.end()) {
+        // A task given up for gone had finished after all: its result is kept.
+        finish_task(*one, item.task);
+        one = book_.find(item.job);
+      }
+    }
+    if (item.phase == attempt_phase::exited) {
+      // The worker forgets an exit only once what it means is stored.
+      const bool stored =
+          one == nullptr || item.task >= one->spec.tasks ||
+          (!one->units[one->unit_of(item.task)].dirty() && one->attempts.count(item.task) == 0) ||
+          (one->attempts.count(item.task) != 0 &&
+           one->attempts.at(item.task).number != item.number);
+      if (stored) out.push_back({verb::forget, item.job, item.task, item.number, {}});
+      from.strangers.insert(key);
+      continue;
+    }
+    const attempt* ours = nullptr;
+    if (one != nullptr) {
+      const auto it = one->attempts.find(item.task);
+      if (it != one->attempts.end() && it->second.machine == from.name &&
+          it->second.number == item.number)
+        ours = &it->second;
+    }
+    if (ours == nullptr) {
+      out.push_back({verb::stop, item.job, item.task, item.number, {}});
+      from.strangers.insert(key);
+      from.strangers_run = true;
+    } else if (ours->stopping) {
+      out.push_back({verb::stop, item.job, item.task, item.number, ours->grace});
+    }
+  }
+
+  const auto held = from.attempts;
+  for (const auto& [id, task] : held) {
+    if (present.count({id, task}) != 0) continue;
+    job* one = book_.find(id);
+    if (one == nullptr) {
+      from.attempts.erase({id, task});
+      continue;
+    }
+    auto& entry = one->attempts.at(task);
+    if (entry.session != said.session) continue;
+    const bool ours = said.token == token_;
+    if (entry.seen) {
+      if (ours) lose(*one, task, "left the report");
+      continue;
+    }
+    // Not listed: the report was sent after the answer that could have started it was dropped, and
+    // carrying our token it can't be started by a former leader any more.
+    if (entry.stopping || one->status != job_status::active) {
+      if (ours) lose(*one, task, "never started");
+      continue;
+    }
+    const bool may_start =
+        events_.valid() && one->attempt_stored(task, entry) && !from.notice && !from.sick;
+    if (may_start) {
+      entry.phase = attempt_phase::sent;
+      entry.sent_tick = said.seq;
+      note_image(from, *one);
+      out.push_back({verb::start, id, task, entry.number, {}});
+    } else if ((from.notice || from.sick) && ours) {
+      lose(*one, task, "not started on a machine that goes");
+    }
+  }
+}
+
+void registry::listed(worker& from, job& one, std::uint32_t task, const reported_task& said) {
+  auto& entry = one.attempts.at(task);
+  entry.seen = true;
+  if (said.phase == attempt_phase::exited) {
+    exited(from, one, task, said.cause);
+    return;
+  }
+  if (entry.phase != said.phase) events_.changed();
+  if (said.phase == attempt_phase::running && entry.phase != attempt_phase::running) {
+    entry.running_since = runtime_.now();
+    one.gang_started = true;
+  }
+  entry.phase = said.phase;
+}
+
+void registry::exited(worker& from, job& one, std::uint32_t task, exit_cause cause) {
+  spdlog::info("exit job={} task={} try={} machine={} cause={} term={}", one.spec.id, task,
+               one.attempts.at(task).number, from.name, cause_name(cause), token_);
+  if (cause == exit_cause::done) {
+    from.failed_jobs.clear();
+    finish_task(one, task);
+    return;
+  }
+  if (cause == exit_cause::error) note_error(from, one);
+  if (cause == exit_cause::unknown) one.not_before = runtime_.now() + seconds(2);
+  from.attempts.erase({one.spec.id, task});
+  if (from.attempts.empty()) from.idle_since = runtime_.now();
+  one.attempts.erase(task);
+  book_.mark(one, task);
+  after_loss(one, false);
+}
+
+void registry::finish_task(job& one, std::uint32_t task) {
+  const auto it = one.attempts.find(task);
+  if (it != one.attempts.end()) {
+    auto& at = workers_[it->second.machine];
+    at.attempts.erase({one.spec.id, task});
+    if (at.attempts.empty()) at.idle_since = runtime_.now();
+    one.attempts.erase(it);
+  }
+  one.done.insert(task);
+  if (one.spec.gang) {
+    // A gang completes together.
+    for (std::uint32_t mate = 0; mate < one.spec.tasks; ++mate) one.done.insert(mate);
+  }
+  one.errors.clear();
+  one.error_rounds = 0;
+  book_.mark(one, task);
+  if (one.status == job_status::active && one.done.count() == one.spec.tasks) {
+    one.status = job_status::done;
+    book_.mark_head(one);
+  }
+  if (one.status != job_status::active && one.attempts.empty()) book_.retire(one);
+  events_.changed();
+}
+
+/// A task is proven gone. Until here it held its place, its quota and its zone.
+void registry::lose(job& one, std::uint32_t task, const char* proof) {
+  const auto it = one.attempts.find(task);
+  if (it == one.attempts.end()) return;
+  spdlog::info("gone job={} task={} try={} machine={} proof=\"{}\" term={}", one.spec.id, task,
+               it->second.number, it->second.machine, proof, token_);
+  auto& at = workers_[it->second.machine];
+  at.attempts.erase({one.spec.id, task});
+  if (at.attempts.empty()) at.idle_since = runtime_.now();
+  one.attempts.erase(it);
+  book_.mark(one, task);
+  after_loss(one, true);
+}
+
+void registry::after_loss(job& one, bool machine_lost) {
+  events_.changed();
+  if (one.attempts.empty()) {
+    one.gang_started = false;
+    one.gang_try = 0;
+    if (one.status != job_status::active) book_.retire(one);
+    return;
+  }
+  if (!one.spec.gang || one.status != job_status::active) return;
+  // A gang that has not started takes a replacement with the same attempt number. One that has
+  // started, or whose member ended by itself, goes on from its checkpoint as a new attempt.
+  bool leaving = false;
+  for (const auto& [task, entry] : one.attempts) leaving = leaving || entry.stopping;
+  if (leaving || (machine_lost && !one.gang_started)) return;
+  stop_all(one, duration::zero());
+}
+
+/// Tells a sick machine from a broken job: one machine that fails several jobs is sick; one job
+/// that fails on several machines is broken and waits longer each time.
+void registry::note_error(worker& at, job& one) {
+  const std::uint32_t here = ++one.errors[at.name];
+  (void)here;
+  if (one.errors.size() >= broken_machines) {
+    const auto doublings = std::min(one.error_rounds, most_backoff_doublings);
+    ++one.error_rounds;
+    one.not_before = runtime_.now() + how_.broken_backoff * (1 << doublings);
+    one.errors.clear();
+    spdlog::info("job fails everywhere job={} round={}", one.spec.id, one.error_rounds);
+  } else {
+    one.not_before = std::max(one.not_before, runtime_.now() + milliseconds(500));
+  }
+  // Jobs known to fail everywhere say nothing about a machine.
+  if (one.error_rounds > 0) return;
+  at.failed_jobs.insert(one.spec.id);
+  if (!at.sick && at.failed_jobs.size() >= how_.sick_jobs) {
+    at.sick = true;
+    spdlog::info("machine is sick machine={} jobs={}", at.name, at.failed_jobs.size());
+    const auto held = at.attempts;
+    for (const auto& [id, task] : held) {
+      job* other = book_.find(id);
+      if (other == nullptr) continue;
+      if (other->spec.gang) {
+        stop_all(*other, other->spec.save + seconds(2));
+      } else {
+        stop(*other, {task}, other->spec.save + seconds(2));
+      }
+    }
+  }
+}
+
+void registry::note_image(worker& at, const job& one) {
+  std::erase_if(at.images, [&](const auto& item) { return item.first == one.spec.image; });
+  at.images.emplace_front(one.spec.image, one.spec.image_gb);
+  double sum = 0;
+  const double room = events_.cache_gb(at.where.type);
+  for (std::size_t i = 0; i < at.images.size(); ++i) {
+    sum += at.images[i].second;
+    if (i > 0 && sum > room) {
+      at.images.resize(i);
+      break;
+    }
+  }
+}
+
+void registry::place(job& one, std::uint32_t task, const std::string& machine,
+                     std::uint64_t number) {
+  auto& at = workers_.at(machine);
+  attempt entry;
+  entry.number = number;
+  entry.machine = machine;
+  entry.session = at.session;
+  entry.placed_at = runtime_.now();
+  book_.mark(one, task);
+  entry.mutation = one.units[one.unit_of(task)].mutation;
+  one.attempts[task] = entry;
+  at.attempts.emplace(one.spec.id, task);
+}
+
+void registry::stop(job& one, const std::vector<std::uint32_t>& tasks, duration grace) {
+  std::map<std::string, std::vector<command>> by_machine;
+  for (const auto task : tasks) {
+    const auto it = one.attempts.find(task);
+    if (it == one.attempts.end()) continue;
+    auto& entry = it->second;
+    // A second stop without grace ends a task that is saving; a later one with more does nothing.
+    if (entry.stopping && grace >= entry.grace) continue;
+    entry.stopping = true;
+    entry.grace = grace;
+    by_machine[entry.machine].push_back({verb::stop, one.spec.id, task, entry.number, grace});
+  }
+  if (!by_machine.empty()) send_stops(by_machine);
+}
+
+void registry::stop_all(job& one, duration grace) {
+  std::vector<std::uint32_t> tasks;
+  for (const auto& [task, entry] : one.attempts) tasks.push_back(task);
+  stop(one, tasks, grace);
+}
+
+/// The direct lane carries stops only: a late one does no harm, a late start would still run.
+void registry::send_stops(const std::map<std::string, std::vector<command>>& by_machine) {
+  if (!events_.valid()) return;
+  for (const auto& [machine, commands] : by_machine) {
+    const worker* at = find(machine);
+    if (at == nullptr || !at->reported) continue;
+    runtime_.call(at->address, {"POST", "/orders", write_commands(token_, commands, at->session)},
+                  direct_deadline, [](const net::response&) {
+                    // Its reply's tick may overtake a report: only reports are proof.
+                  });
+  }
+}
+
+void registry::machine_gone(const std::string& machine, const char* proof) {
+  worker* at = find(machine);
+  if (at == nullptr) return;
+  const auto held = at->attempts;
+  for (const auto& [id, task] : held) {
+    job* one = book_.find(id);
+    if (one != nullptr) lose(*one, task, proof);
+  }
+  workers_.erase(machine);
+  events_.changed();
+}
+
+void registry::check_leases() {
+  const time_point now = runtime_.now();
+  const duration lease = from_seconds(to_seconds(how_.lease) * (1 + drift)) + lease_margin;
+  // A deposed leader may have answered a worker up to the end of its grace.
+  if (now < term_start_ + how_.keeper_grace + lease) return;
+  for (auto& [name, at] : workers_) {
+    if (at.attempts.empty() || now < at.last_answer + lease) continue;
+    const auto held = at.attempts;
+    for (const auto& [id, task] : held) {
+      job* one = book_.find(id);
+      if (one != nullptr) lose(*one, task, "lease over");
+    }
+  }
+}
+
+}  // namespace gingerdrift::workers
--- /dev/null
+++ b/src/workers/registry.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+#include "store/job_book.hpp"
+#include "workers/wire.hpp"
+
+namespace gingerdrift::workers {
+
+struct options {
+  duration report = seconds(3);
+  duration lease = seconds(24);
+  duration keeper_grace = seconds(10);  // how long a deposed leader may keep workers
+  std::uint32_t sick_jobs = 2;
+  duration broken_backoff = seconds(10);
+};
+
+/// A machine as its worker's reports show it.
+struct worker {
+  std::string name;
+  std::string address;
+  admission::pool where;
+  bool reported = false;
+  std::uint64_t session = 0;
+  std::uint64_t seq = 0;
+  std::uint64_t token = 0;
+  time_point last_report{};
+  time_point last_answer{};
+  std::optional<duration> notice;
+  std::set<std::pair<std::string, std::uint32_t>> attempts;   // ours, not proven gone
+  std::set<std::pair<std::string, std::uint32_t>> strangers;  // listed, but not ours
+  bool strangers_run = false;
+  std::deque<std::pair<std::string, double>> images;  // most recently used first
+  std::set<std::string> failed_jobs;                  // ended with an error here, none done since
+  bool sick = false;
+  time_point idle_since{};
+};
+
+/// Reports in, commands out, and the proofs that a task is gone.
+class registry {
+ public:
+  struct hooks {
+    std::function<bool()> valid;    // the leader's lease is surely held
+    std::function<void()> changed;  // something a scheduling pass should know
+    std::function<double(const std::string& type)> cache_gb;
+  };
+  registry(net::runtime& runtime, store::job_book& book, options how, std::uint64_t token,
+           hooks events);
+  ~registry();
+  registry(const registry&) = delete;
+  registry& operator=(const registry&) = delete;
+
+  /// Indexes a job's stored attempts after a takeover.
+  void adopt(store::job& one);
+  /// From here on, reports are acted upon; before, they are only answered.
+  void ready() { ready_ = true; }
+
+  std::string handle(const report& said);
+  void place(store::job& one, std::uint32_t task, const std::string& machine, std::uint64_t number);
+  /// Tells tasks to stop: at once over the direct lane, and again in every report's answer.
+  void stop(store::job& one, const std::vector<std::uint32_t>& tasks, duration grace);
+  void stop_all(store::job& one, duration grace);
+  /// The machine is gone for sure, and everything on it.
+  void machine_gone(const std::string& machine, const char* proof);
+  /// Looks for workers whose leases are surely over.
+  void check_leases();
+
+  worker* find(const std::string& machine);
+  std::map<std::string, worker>& all() { return workers_; }
+  const std::map<std::string, worker>& all() const { return workers_; }
+  /// Reports, takes tasks and is well.
+  bool takes_tasks(const worker& one) const;
+  bool silent(const worker& one) const;
+
+ private:
+  void apply(worker& from, const report& said, std::vector<command>& out);
+  void listed(worker& from, store::job& one, std::uint32_t task, const reported_task& said);
+  void exited(worker& from, store::job& one, std::uint32_t task, exit_cause cause);
+  void lose(store::job& one, std::uint32_t task, const char* proof);
+  void finish_task(store::job& one, std::uint32_t task);
+  void after_loss(store::job& one, bool machine_lost);
+  void note_error(worker& at, store::job& one);
+  void note_image(worker& at, const store::job& one);
+  void send_stops(const std::map<std::string, std::vector<command>>& by_machine);
+
+  net::runtime& runtime_;
+  store::job_book& book_;
+  options how_;
+  std::uint64_t token_;
+  hooks events_;
+  time_point term_start_;
+  bool ready_ = false;
+  std::map<std::string, worker> workers_;
+};
+
+}  // namespace gingerdrift::workers
