--- /dev/null
+++ b/tests/service_test.cpp
@@ -0,0 +1,173 @@
+// The whole service in virtual time under trouble. Each day's courses are fixed by its seed.
+#include <gtest/gtest.h>
+
+#include "support/sim_service.hpp"
+
+namespace gingerdrift::testing {
+
+namespace {
+
+/// A mixed load: arrays, gangs, urgent gangs, jobs bound to a zone or spread over both.
+void submit_mixed(sim_service& service, std::size_t count, duration over) {
+  auto& net = service.net;
+  for (std::size_t i = 0; i < count; ++i) {
+    sim_job job;
+    job.id = "run-" + std::to_string(100 + i);
+    job.team = i % 2 == 0 ? "red" : "blue";
+    job.gang = i % 3 == 0;
+    job.tasks =
+        job.gang ? 1 + static_cast<std::uint32_t>(i % 2) : 4 + static_cast<std::uint32_t>(i % 5);
+    job.gpus = job.gang ? 8 : 1;
+    job.cpus = job.gpus;
+    job.run_s = net.uniform(5, 25);
+    job.one_zone = i % 6 == 0;
+    job.spread = !job.gang && i % 4 == 1;
+    job.spot = !job.gang && i % 2 == 0;
+    job.urgency = i % 5 == 0 ? "high" : "standard";
+    net.after(from_seconds(net.uniform(0, to_seconds(over))),
+              [&service, job] { service.site.submit(job); });
+  }
+}
+
+void expect_fine(sim_service& service, std::size_t jobs) {
+  EXPECT_TRUE(service.run_until_over(seconds(600)));
+  EXPECT_EQ(service.rules_broken(), "");
+  EXPECT_EQ(service.site.count("done") + service.site.count("cancelled"), jobs);
+  EXPECT_GT(service.site.starts, 0U);
+}
+
+}  // namespace
+
+class seeded : public ::testing::TestWithParam<std::uint64_t> {};
+INSTANTIATE_TEST_SUITE_P(days, seeded, ::testing::Values(1, 2, 3, 4, 5, 6));
+
+TEST_P(seeded, quiet_day_with_cancellations) {
+  sim_service service(GetParam());
+  submit_mixed(service, 30, seconds(60));
+  service.net.after(seconds(30), [&] { service.site.withdraw("run-103"); });
+  service.net.after(seconds(45), [&] { service.site.withdraw("run-110"); });
+  service.net.run_for(seconds(61));
+  expect_fine(service, 30);
+}
+
+TEST_P(seeded, controllers_crash_one_or_all_and_return_within_moments) {
+  sim_service service(GetParam());
+  submit_mixed(service, 30, seconds(90));
+  auto& net = service.net;
+  for (int round = 0; round < 8; ++round) {
+    net.after(seconds(10 + round * 11), [&service, round] {
+      const bool all = round % 3 == 2;
+      for (std::size_t node = 0; node < 3; ++node) {
+        if (all || service.leader() == node)
+          service.crash_for(node, from_seconds(service.net.uniform(0.1, 6)));
+      }
+    });
+  }
+  net.after(seconds(40), [&] { service.site.withdraw("run-112"); });
+  net.run_for(seconds(100));
+  expect_fine(service, 30);
+}
+
+TEST_P(seeded, cuts_that_hold_packets_apply_writes_and_orders_late) {
+  sim_service service(GetParam());
+  submit_mixed(service, 30, seconds(90));
+  auto& net = service.net;
+  const auto mode = GetParam() % 2 == 0 ? sim_net::cut_mode::drop : sim_net::cut_mode::hold;
+  net.after(seconds(20), [&, mode] {
+    if (const auto at = service.leader())
+      net.cut("node-" + std::to_string(*at), "state", seconds(15), mode);
+  });
+  net.after(seconds(45), [&, mode] {
+    int cut = 0;
+    for (const auto& [name, one] : service.site.machines) {
+      if (one->gone || !one->up || ++cut > 3) continue;
+      for (int node = 0; node < 3; ++node)
+        net.cut(name, "node-" + std::to_string(node), seconds(4 + cut * 4), mode);
+    }
+  });
+  net.after(seconds(60), [&, mode] {
+    if (const auto at = service.leader()) {
+      for (const auto& [name, one] : service.site.machines)
+        net.cut(name, "node-" + std::to_string(*at), seconds(20), mode);
+    }
+  });
+  for (int i = 0; i < 4; ++i)
+    net.after(seconds(22 + i * 14),
+              [&, i] { service.site.withdraw("run-" + std::to_string(104 + i * 5)); });
+  net.run_for(seconds(100));
+  expect_fine(service, 30);
+}
+
+TEST_P(seeded, store_and_cloud_outages_with_spot_waves_and_hanging_machines) {
+  sim_service service(GetParam());
+  submit_mixed(service, 30, seconds(90));
+  auto& net = service.net;
+  net.after(seconds(15), [&] { service.state.outage(seconds(12)); });
+  net.after(seconds(30), [&] { service.site.cloud_outage(seconds(20)); });
+  net.after(seconds(35), [&] { service.site.take_spot(3); });
+  net.after(seconds(42), [&] {
+    int hung = 0;
+    for (auto& [name, one] : service.site.machines) {
+      if (one->up && !one->gone && ++hung <= 3) one->hang(seconds(3 * hung));
+    }
+  });
+  net.after(seconds(60), [&] {
+    service.state.outage(seconds(8));
+    for (std::size_t node = 0; node < 3; ++node) service.crash_for(node, seconds(2));
+  });
+  net.run_for(seconds(100));
+  expect_fine(service, 30);
+}
+
+TEST(service, large_array_spills_into_parts_and_survives_takeovers) {
+  sim_service service(7);
+  sim_job job;
+  job.id = "run-1";
+  job.team = "blue";
+  job.tasks = 400;
+  job.run_s = 3;
+  service.net.after(seconds(1), [&] { service.site.submit(job); });
+  for (int i = 1; i <= 3; ++i) {
+    service.net.after(seconds(i * 15), [&] {
+      if (const auto at = service.leader()) service.crash_for(*at, seconds(1));
+    });
+  }
+  service.net.run_for(seconds(2));
+  expect_fine(service, 1);
+  EXPECT_LE(service.state.biggest_value(), 8U << 10);
+  EXPECT_LE(service.state.most_operations(), 24U);
+  // What remains is small: the parts and the head are gone, the final state stays.
+  service.net.run_for(seconds(10));
+  EXPECT_EQ(service.state.peek("gd/part/run-1/1"), nullptr);
+  EXPECT_EQ(service.state.peek("gd/job/run-1"), nullptr);
+  ASSERT_NE(service.state.peek("gd/final/run-1"), nullptr);
+  EXPECT_EQ(service.state.peek("gd/final/run-1")->at("status"), "done");
+}
+
+TEST(service, broken_job_backs_off_and_harms_nobody_while_a_sick_machine_is_returned) {
+  sim_service service(8);
+  service.site.add_machine("a", false);
+  service.site.machines.begin()->second->sick = true;
+  sim_job bad;
+  bad.id = "run-1";
+  bad.team = "blue";
+  bad.tasks = 4;
+  bad.fails = true;
+  service.net.after(seconds(3), [&] { service.site.submit(bad); });
+  submit_mixed(service, 12, seconds(30));
+  service.net.run_for(seconds(90));
+  EXPECT_EQ(service.site.count("done"), 12U);
+  EXPECT_TRUE(service.site.machines.begin()->second->gone);
+  service.site.withdraw("run-1");
+  expect_fine(service, 13);
+}
+
+TEST(service, one_controller_alone_serves_too) {
+  sim_service service(9, 1);
+  submit_mixed(service, 10, seconds(20));
+  service.net.after(seconds(15), [&] { service.crash_for(0, milliseconds(200)); });
+  service.net.run_for(seconds(21));
+  expect_fine(service, 10);
+}
+
+}  // namespace gingerdrift::testing
--- /dev/null
+++ b/tests/support/sim_net.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "net/transport.hpp"
+
+namespace gingerdrift::testing {
+
+/// Virtual time and a network whose links can be cut. One seed, one course of events.
+class sim_net {
+ public:
+  enum class cut_mode { drop, hold };
+  explicit sim_net(std::uint64_t seed) : random(seed) {}
+
+  time_point now() const { return now_; }
+  double seconds_now() const { return to_seconds(now_ - time_point(seconds(1000))); }
+  net::timer_id at(time_point when, std::function<void()> action);
+  net::timer_id after(duration delay, std::function<void()> action) {
+    return at(now_ + delay, std::move(action));
+  }
+  void cancel(net::timer_id id);
+  void run_for(duration span);
+
+  /// A host's server; its epoch changes when the host restarts, and old packets are lost then.
+  void serve(const std::string& host, const std::string& address, net::handler_fn handler);
+  void stop(const std::string& host);
+  void call(const std::string& from, const std::string& address, net::request message,
+            duration deadline, net::reply_fn done);
+  void cut(const std::string& a, const std::string& b, duration span, cut_mode mode);
+  bool is_cut(const std::string& a, const std::string& b) const;
+
+  std::mt19937_64 random;
+  double uniform(double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(random);
+  }
+
+ private:
+  struct server {
+    std::string host;
+    net::handler_fn handler;
+  };
+  struct cut_link {
+    time_point until;
+    cut_mode mode;
+  };
+  duration latency() { return from_seconds(uniform(0.0005, 0.003)); }
+  /// When a packet sent now arrives; nothing: never.
+  std::optional<time_point> arrival(const std::string& from, const std::string& to);
+
+  time_point now_ = time_point(seconds(1000));
+  net::timer_id next_ = 1;
+  std::map<std::pair<time_point, net::timer_id>, std::function<void()>> events_;
+  std::map<net::timer_id, time_point> times_;
+  std::map<std::string, server> servers_;
+  std::map<std::pair<std::string, std::string>, cut_link> cuts_;
+};
+
+/// A process on a host: its timers and replies end with it.
+class sim_runtime final : public net::runtime {
+ public:
+  sim_runtime(sim_net& net, std::string host) : net_(net), host_(std::move(host)) {}
+  ~sim_runtime() override { *alive_ = false; }
+  sim_runtime(const sim_runtime&) = delete;
+  sim_runtime& operator=(const sim_runtime&) = delete;
+  time_point now() override { return net_.now(); }
+  wall_time wall_now() override {
+    return wall_time(
+        std::chrono::duration_cast<wall_time::duration>(net_.now().time_since_epoch()));
+  }
+  net::timer_id after(duration delay, std::function<void()> action) override {
+    return net_.after(delay, [alive = alive_, action = std::move(action)] {
+      if (*alive) action();
+    });
+  }
+  void cancel(net::timer_id id) override { net_.cancel(id); }
+  void call(const std::string& address, net::request message, duration deadline,
+            net::reply_fn done) override {
+    net_.call(host_, address, std::move(message), deadline,
+              [alive = alive_, done = std::move(done)](const net::response& reply) {
+                if (*alive) done(reply);
+              });
+  }
+
+ private:
+  sim_net& net_;
+  std::string host_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace gingerdrift::testing
