--- a/src/admission/scheduler.cpp
+++ b/src/admission/scheduler.cpp
@@ -292,7 +292,9 @@
   if (job.set->preempting && *job.set->preempting != one.rank) return false;
   const double tasks = job.view->gang ? static_cast<double>(job.left.size()) : 1;
   if (!quota_allows(job, tasks)) return false;
-  const bool for_guarantee = within_guarantee(job, tasks);
+  // Array tasks are short and end one by one: places come free sooner than they can be cleared, and
+  // clearing them for each other's guarantees only wastes work.
+  const bool for_guarantee = job.view->gang && within_guarantee(job, tasks);
 
   std::map<std::string, resources> room;  // of the machines chosen, once everybody told has left
   std::vector<victim> victims;
@@ -477,6 +479,7 @@
       if (!quota_allows(job, 1)) break;
       bin* target = nullptr;
       for (const auto& one : job.set->variants) {
+        if (!one.active) continue;
         for (auto& candidate : bins) {
           const bool same = candidate.where.type == one.where.type &&
                             candidate.where.spot == one.where.spot &&
@@ -489,6 +492,7 @@
       }
       if (target == nullptr) {
         for (const auto& one : job.set->variants) {
+          if (!one.active) continue;
           for (const auto& type : world_.types) {
             if (type.name != one.where.type || target != nullptr) continue;
             for (const auto& zone : type.zones) {
--- a/src/admission/types.hpp
+++ b/src/admission/types.hpp
@@ -140,7 +140,7 @@
 
 struct policy {
   bool spot_first = true;
-  duration create_delay = seconds(0);
+  duration create_delay = seconds(20);
   duration delete_delay = seconds(60);
   duration upgrade_min_left = seconds(120);
   duration preempt_hold = seconds(20);
