A deposed leader hears of its successor by the mesh; cut-off zones keep their machines

In the cut between zones at 260 s half of the fleet was returned as silent. Excluded: proofs and leases, which held. Change: beats carry the known leader and token, so a deposed leader redirects at once; machines of a zone that falls silent as a whole are kept 45 s longer; idle machines go after 25 s instead of 45.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -72,6 +72,12 @@
   };
   talk.store_works = [this] { return store_works(); };
   talk.reports_seen = [this] { return static_cast<std::uint64_t>(knocks_.size()); };
+  talk.leader = [this] {
+    return std::make_pair(elector_->leader().node, elector_->leader().token);
+  };
+  talk.heard_leader = [this](const std::string& node, std::uint64_t token) {
+    elector_->heard(node, token);
+  };
   mesh_ = std::make_unique<mesh::link>(runtime_, platform_.node, peers, std::move(talk));
 
   leadership::elector::hooks office;
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -70,7 +70,7 @@
   duration preempt_hold = seconds(20);
   duration pass_interval = milliseconds(200);
   // fleet
-  duration idle_return = seconds(45);
+  duration idle_return = seconds(25);
   duration refusal_backoff = seconds(10);
   double boot_patience = 3.0;
   duration silent_release = seconds(0);  // 0: the workers' lease
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -17,6 +17,9 @@
 /// A machine costs at least this much time, so it is not returned before.
 constexpr auto least_paid = seconds(60);
 constexpr auto drain_slack = seconds(4);
+/// So many machines of a zone, and at least half of them, silent at once: the zone is cut off.
+constexpr std::size_t least_cut_off = 3;
+constexpr duration cut_patience = seconds(45);
 
 workers::options worker_options(const platform_settings& platform, const operator_settings& rules,
                                 duration grace) {
@@ -471,14 +474,33 @@
   const time_point now = runtime_.now();
   const duration silence =
       rules_.silent_release > duration::zero() ? rules_.silent_release : platform_.worker_lease;
+  // Machines die one by one. When much of a zone falls silent at once, the zone is cut off, or its
+  // workers can't find the leader: they will be back, with their images.
+  std::map<std::string, std::pair<std::size_t, std::size_t>> zones;  // silent, all
+  for (const auto& [name, at] : workers_.all()) {
+    const auto listed = fleet_.all().find(name);
+    const std::string& zone =
+        at.reported || listed == fleet_.all().end() ? at.where.zone : listed->second.where.zone;
+    auto& [quiet, all] = zones[zone];
+    ++all;
+    if (now - std::max(at.last_report, started_) > silence / 2) ++quiet;
+  }
+  const auto cut_off = [&](const std::string& zone) {
+    const auto& [quiet, all] = zones[zone];
+    return quiet >= least_cut_off && quiet * 2 >= all;
+  };
   for (auto& [name, at] : workers_.all()) {
     if (fleet_.releasing(name)) continue;
     if (!at.reported) {
+      const auto listed = fleet_.all().find(name);
+      const std::string zone = listed == fleet_.all().end() ? "" : listed->second.where.zone;
+      const duration patience = silence + (cut_off(zone) ? cut_patience : duration::zero());
       // Stored attempts on a machine that was not heard of in this term.
-      if (!at.attempts.empty() && now - started_ > silence) fleet_.release(name, "never heard of");
+      if (!at.attempts.empty() && now - started_ > patience) fleet_.release(name, "never heard of");
       continue;
     }
-    if (now - at.last_report > silence) {
+    if (now - at.last_report >
+        silence + (cut_off(at.where.zone) ? cut_patience : duration::zero())) {
       fleet_.release(name, "silent");
       continue;
     }
--- a/src/leadership/elector.cpp
+++ b/src/leadership/elector.cpp
@@ -181,6 +181,17 @@
 
 void elector::found_deposed() { step_down("the leader key is another's"); }
 
+void elector::heard(const std::string& node, std::uint64_t token) {
+  if (node == how_.node) return;
+  if (in_office_) {
+    if (token <= token_) return;
+    step_down("a peer knows of a successor");
+  } else if (token <= leader_.token) {
+    return;
+  }
+  leader_ = {node, token};
+}
+
 void elector::resign(duration stand_back) {
   if (!in_office_) return;
   stand_back_until_ = runtime_.now() + stand_back;
@@ -192,7 +203,7 @@
   if (!in_office_) return;
   spdlog::info("stepping down term={}: {}", token_, why);
   in_office_ = false;
-  leader_ = {};
+  leader_.node.clear();
   runtime_.cancel(keeper_);
   keeper_ = 0;
   events_.deposed();
--- a/src/leadership/elector.hpp
+++ b/src/leadership/elector.hpp
@@ -49,6 +49,9 @@
   /// Gives the office up (a leader the workers can't reach) and stands back for a while.
   void resign(duration stand_back);
   void found_deposed();
+  /// A peer knows of a leader. A leader cut off from the store alone learns so of its successor,
+  /// and sends the workers there instead of keeping them from it.
+  void heard(const std::string& node, std::uint64_t token);
 
  private:
   void look();
--- a/src/mesh/codec.cpp
+++ b/src/mesh/codec.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 constexpr int format = 1;
-constexpr std::uint32_t message_fields = 9;
-constexpr std::uint32_t answer_fields = 6;
+constexpr std::uint32_t message_fields = 7;
+constexpr std::uint32_t answer_fields = 8;
 
 const msgpack::object_array& fields(const msgpack::object_handle& handle, std::uint32_t count) {
   const auto& object = handle.get();
@@ -28,8 +28,6 @@
   pack.pack(one.method);
   pack.pack(one.target);
   pack.pack(one.body);
-  pack.pack(one.store_works);
-  pack.pack(one.reports_seen);
   pack.pack(one.job);
   return {buffer.data(), buffer.size()};
 }
@@ -44,6 +42,8 @@
   pack.pack(one.retry_after);
   pack.pack(one.store_works);
   pack.pack(one.reports_seen);
+  pack.pack(one.leader);
+  pack.pack(one.token);
   return {buffer.data(), buffer.size()};
 }
 
@@ -59,9 +59,7 @@
     out.method = in.ptr[3].as<std::string>();
     out.target = in.ptr[4].as<std::string>();
     out.body = in.ptr[5].as<std::string>();
-    out.store_works = in.ptr[6].as<bool>();
-    out.reports_seen = in.ptr[7].as<std::uint64_t>();
-    out.job = in.ptr[8].as<std::string>();
+    out.job = in.ptr[6].as<std::string>();
     return out;
   } catch (const std::exception&) {
     return std::nullopt;
@@ -78,6 +76,8 @@
     out.retry_after = in.ptr[3].as<std::int64_t>();
     out.store_works = in.ptr[4].as<bool>();
     out.reports_seen = in.ptr[5].as<std::uint64_t>();
+    out.leader = in.ptr[6].as<std::string>();
+    out.token = in.ptr[7].as<std::uint64_t>();
     return out;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/mesh/codec.hpp
+++ b/src/mesh/codec.hpp
@@ -18,9 +18,7 @@
   std::string method;  // user: the request
   std::string target;
   std::string body;
-  bool store_works = false;        // beat
-  std::uint64_t reports_seen = 0;  // beat: workers that knocked at this node lately
-  std::string job;                 // new_job
+  std::string job;  // new_job
 };
 
 struct answer {
@@ -29,6 +27,8 @@
   std::int64_t retry_after = -1;
   bool store_works = false;
   std::uint64_t reports_seen = 0;
+  std::string leader;  // as known there; empty: nobody
+  std::uint64_t token = 0;
 };
 
 std::string encode(const message& one);
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -45,6 +45,7 @@
                     state.heard = runtime_.now();
                     state.store_works = said->store_works;
                     state.reports_seen = said->reports_seen;
+                    if (!said->leader.empty()) events_.heard_leader(said->leader, said->token);
                   });
   }
   timer_ = runtime_.after(beat_period, [this] { beat(); });
@@ -67,12 +68,13 @@
       out.status = 200;
       out.store_works = events_.store_works();
       out.reports_seen = events_.reports_seen();
+      std::tie(out.leader, out.token) = events_.leader();
       reply({200, encode(out), std::nullopt, false});
       return;
     }
     case kind::new_job:
       events_.new_job(said->job);
-      reply({200, encode(answer{200, "", -1, false, 0}), std::nullopt, false});
+      reply({200, encode(answer{200, "", -1, false, 0, "", 0}), std::nullopt, false});
       return;
     case kind::user:
       events_.user({said->method, said->target, said->body}, [reply](const net::response& result) {
--- a/src/mesh/mesh.hpp
+++ b/src/mesh/mesh.hpp
@@ -26,6 +26,8 @@
     std::function<void(const std::string& job)> new_job;
     std::function<bool()> store_works;
     std::function<std::uint64_t()> reports_seen;
+    std::function<std::pair<std::string, std::uint64_t>()> leader;
+    std::function<void(const std::string& node, std::uint64_t token)> heard_leader;
   };
   link(net::runtime& runtime, std::string node, const std::map<std::string, std::string>& peers,
        hooks events);
