--- a/src/admission/scheduler.cpp
+++ b/src/admission/scheduler.cpp
@@ -50,6 +50,8 @@
   bool preempt(job_state& job, const variant& one);
   void upgrade();
   void demand();
+  std::optional<pool> emptiest(const machine_type& type, const pool& where, const job_state& job,
+                               const std::map<pool, std::uint32_t>& held) const;
 
   bool usable(const machine_state& machine, const job_state& job, const pool& where) const;
   bool zone_allows(const job_state& job, const std::string& zone) const;
@@ -450,6 +452,26 @@
   }
 }
 
+/// Where a variant's next machine is rented: the allowed zone with the fewest machines of its kind,
+/// so that the loss of a zone takes no more than its share.
+std::optional<pool> pass_state::emptiest(const machine_type& type, const pool& where,
+                                         const job_state& job,
+                                         const std::map<pool, std::uint32_t>& held) const {
+  std::optional<pool> best;
+  std::uint32_t least = 0;
+  for (const auto& zone : type.zones) {
+    if (!where.zone.empty() && where.zone != zone) continue;
+    const pool one{type.name, zone, where.spot};
+    if (world_.refused.count(one) != 0 || !zone_allows(job, zone)) continue;
+    const auto found = held.find(one);
+    const std::uint32_t there = found == held.end() ? 0 : found->second;
+    if (best && there >= least) continue;
+    best = one;
+    least = there;
+  }
+  return best;
+}
+
 /// Packs what still waits on the machines that are starting, then on machines to rent, in the best
 /// pool of each job that was not refused lately.
 void pass_state::demand() {
@@ -459,6 +481,8 @@
     std::string name;  // empty: to be rented
   };
   std::vector<bin> bins;
+  std::map<pool, std::uint32_t> held;
+  for (const auto& view : world_.machines) ++held[view.where];
   for (const auto& [name, machine] : machines_) {
     if (machine.view->starting) bins.push_back({machine.view->where, machine.free, name});
   }
@@ -495,15 +519,12 @@
           if (!one.active) continue;
           for (const auto& type : world_.types) {
             if (type.name != one.where.type || target != nullptr) continue;
-            for (const auto& zone : type.zones) {
-              if (!one.where.zone.empty() && one.where.zone != zone) continue;
-              const pool where{type.name, zone, one.where.spot};
-              if (world_.refused.count(where) != 0 || !zone_allows(job, zone)) continue;
-              bins.push_back({where, type.size, ""});
-              ++out_.rent[where];
-              target = &bins.back();
-              break;
-            }
+            const auto where = emptiest(type, one.where, job, held);
+            if (!where) continue;
+            bins.push_back({*where, type.size, ""});
+            ++out_.rent[*where];
+            ++held[*where];
+            target = &bins.back();
           }
           if (target != nullptr) break;
         }
--- a/src/admission/types.hpp
+++ b/src/admission/types.hpp
@@ -49,8 +49,9 @@
   std::vector<std::string> zones;
 };
 
-/// A pool: one machine type in one zone, ordinary or spot. An empty zone stands for "any zone",
-/// which gangs use that may span zones.
+/// A pool: one machine type in one zone, ordinary or spot. An empty zone stands for "any zone": a
+/// job that is not bound to one zone has one variant for all of them, so that its tasks go to the
+/// fullest machines wherever these are.
 struct pool {
   std::string type;
   std::string zone;
--- a/src/admission/variants.cpp
+++ b/src/admission/variants.cpp
@@ -12,7 +12,7 @@
     pool where;
   };
   std::vector<candidate> found;
-  const bool spans_zones = job.gang && !job.one_zone && job.zone.empty();
+  const bool spans_zones = !job.one_zone && job.zone.empty();
   const std::size_t start = std::hash<std::string>{}(job.id);
   for (const auto& type : world.types) {
     const bool named = std::find(job.types.begin(), job.types.end(), type.name) != job.types.end();
