--- a/src/admission/scheduler.cpp
+++ b/src/admission/scheduler.cpp
@@ -517,6 +517,7 @@
       if (target == nullptr) {
         for (const auto& one : job.set->variants) {
           if (!one.active) continue;
+          if (one.tier > 0 && world_.now - job.set->created < owner_.rules_.rent_delay) continue;
           for (const auto& type : world_.types) {
             if (type.name != one.where.type || target != nullptr) continue;
             const auto where = emptiest(type, one.where, job, held);
--- a/src/admission/types.hpp
+++ b/src/admission/types.hpp
@@ -141,7 +141,8 @@
 
 struct policy {
   bool spot_first = true;
-  duration create_delay = seconds(20);
+  duration create_delay = seconds(5);
+  duration rent_delay = seconds(20);  // no machine is rented in a lower pool before this
   duration delete_delay = seconds(60);
   duration upgrade_min_left = seconds(120);
   duration preempt_hold = seconds(20);
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -206,6 +206,7 @@
            throw settings_error(file, field, "must name spot and on_demand, each once");
        }},
       {"admission/create_delay_s", span(out.create_delay, 0, 3600)},
+      {"admission/rent_delay_s", span(out.rent_delay, 0, 3600)},
       {"admission/delete_delay_s", span(out.delete_delay, 0, 86400)},
       {"admission/upgrade_min_left_s", span(out.upgrade_min_left, 0, 86400)},
       {"admission/preempt_hold_s", span(out.preempt_hold, 1, 600)},
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -64,7 +64,8 @@
   duration leader_lease = seconds(4);
   // admission
   std::vector<std::string> pool_order = {"spot", "on_demand"};
-  duration create_delay = seconds(20);
+  duration create_delay = seconds(5);
+  duration rent_delay = seconds(20);
   duration delete_delay = seconds(60);
   duration upgrade_min_left = seconds(120);
   duration preempt_hold = seconds(20);
