--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -499,8 +499,10 @@
       if (!at.attempts.empty() && now - started_ > patience) fleet_.release(name, "never heard of");
       continue;
     }
+    // A spot machine that falls silent has most likely been taken without notice.
+    const duration patience = at.where.spot ? std::max(silence / 2, platform_.report * 3) : silence;
     if (now - at.last_report >
-        silence + (cut_off(at.where.zone) ? cut_patience : duration::zero())) {
+        patience + (cut_off(at.where.zone) ? cut_patience : duration::zero())) {
       fleet_.release(name, "silent");
       continue;
     }
