--- a/src/admission/scheduler.cpp
+++ b/src/admission/scheduler.cpp
@@ -48,6 +48,8 @@
   void try_variant(std::size_t job, const variant& one);
   bool place(job_state& job, const variant& one);
   bool preempt(job_state& job, const variant& one);
+  bool clear_quota(job_state& job, const variant& one, double tasks);
+  void stop(const victim& one, const job_state& job);
   void upgrade();
   void demand();
   std::optional<pool> emptiest(const machine_type& type, const pool& where, const job_state& job,
@@ -70,8 +72,9 @@
   decisions out_;
   std::map<std::string, machine_state> machines_;
   std::vector<job_state> jobs_;
-  std::vector<resources> used_;
-  std::set<std::string> stopped_;  // jobs told to stop in this pass
+  std::vector<resources> used_;     // by team: all that is not proven gone; limits count this
+  std::vector<resources> settled_;  // once what was decided has happened; guarantees count this
+  std::set<std::string> stopped_;   // jobs told to stop in this pass
 };
 
 decisions scheduler::pass(const snapshot& world) { return pass_state(*this, world).run(); }
@@ -87,6 +90,7 @@
 void pass_state::prepare() {
   for (const auto& view : world_.machines) machines_[view.name] = {&view, view.free, {}, true};
   used_.resize(world_.teams.size());
+  settled_.resize(world_.teams.size());
   std::set<std::string> known;
   for (const auto& view : world_.jobs) known.insert(view.id);
   owner_.book_.forget_all_but(known);
@@ -96,6 +100,7 @@
     for (const auto& place : view.placed) {
       // Until a task is proven gone it holds its quota, its place and its zone.
       used_[view.team] += view.need;
+      if (!place.stopping) settled_[view.team] += view.need;
       ++job.in_zone[place.where.zone];
       const auto found = machines_.find(place.machine);
       if (found == machines_.end()) continue;
@@ -106,7 +111,10 @@
   }
   std::set<std::string> waiting;
   for (const auto& job : jobs_) {
-    if (!job.view->waiting.empty() || job.view->held_back) waiting.insert(job.view->id);
+    bool moving = !job.view->waiting.empty() || job.view->held_back;
+    // A job on its way to a better pool waits as soon as its old place is given up.
+    for (const auto& place : job.view->placed) moving = moving || place.stopping;
+    if (moving) waiting.insert(job.view->id);
   }
   std::erase_if(owner_.reserved_, [&](const auto& item) {
     return world_.now >= item.second.until || waiting.count(item.second.job) == 0 ||
@@ -142,7 +150,7 @@
 bool pass_state::within_guarantee(const job_state& job, double tasks) const {
   const auto& team = world_.teams[job.view->team];
   if (team.cpus <= 0 && team.gpus <= 0) return false;
-  resources sum = used_[job.view->team];
+  resources sum = settled_[job.view->team];
   sum += job.view->need.times(tasks);
   constexpr double slack = 1e-6;
   return (team.cpus <= 0 || sum.cpus <= team.cpus + slack) &&
@@ -194,6 +202,8 @@
   machine.free -= job.view->need;
   machine.empty = false;
   used_[job.view->team] += job.view->need;
+  settled_[job.view->team] += job.view->need;
+  if (!job.set->admitted) job.set->admitted = world_.now;
   ++job.in_zone[machine.view->where.zone];
   out_.starts.push_back({job.view->id, task, machine.view->name});
 }
@@ -205,6 +215,7 @@
     if (!quota_allows(job, static_cast<double>(job.left.size()))) return false;
     const auto machines = machines_;
     const auto used = used_;
+    const auto settled = settled_;
     const auto zones = job.in_zone;
     const auto before = out_.starts.size();
     for (const auto task : job.left) {
@@ -212,6 +223,7 @@
       if (machine == nullptr) {
         machines_ = machines;
         used_ = used;
+        settled_ = settled;
         job.in_zone = zones;
         out_.starts.resize(before);
         return false;
@@ -289,18 +301,64 @@
   return std::nullopt;
 }
 
+void pass_state::stop(const victim& one, const job_state& job) {
+  auto& other = jobs_[one.job];
+  if (other.view->gang && !stopped_.insert(other.view->id).second) return;
+  out_.stops.push_back({other.view->id, one.tasks, stop_reason::preempted, job.view->id});
+  owner_.book_.reset(other.view->id, world_.now);
+  other.left.clear();
+}
+
+/// The team is at its limit: its own lower work makes room under it.
+bool pass_state::clear_quota(job_state& job, const variant& one, double tasks) {
+  const auto& team = world_.teams[job.view->team];
+  const auto fits = [&](resources sum) {
+    sum += job.view->need.times(tasks);
+    constexpr double slack = 1e-6;
+    return (team.cpus_max <= 0 || sum.cpus <= team.cpus_max + slack) &&
+           (team.gpus_max <= 0 || sum.gpus <= team.gpus_max + slack);
+  };
+  std::vector<victim> all;
+  for (const auto& [name, machine] : machines_) {
+    for (auto& candidate : victims_on(machine, job)) {
+      const auto& other = *jobs_[candidate.job].view;
+      if (other.team != job.view->team || !(other.level < job.view->level)) continue;
+      all.push_back(std::move(candidate));
+    }
+  }
+  std::sort(all.begin(), all.end(),
+            [](const victim& a, const victim& b) { return a.cost < b.cost; });
+  resources left = settled_[job.view->team];
+  std::vector<victim> chosen;
+  std::set<std::size_t> gangs;
+  for (auto& candidate : all) {
+    if (fits(left)) break;
+    const auto& other = *jobs_[candidate.job].view;
+    if (other.gang && !gangs.insert(candidate.job).second) continue;
+    left -= other.need.times(static_cast<double>(candidate.tasks.size()));
+    chosen.push_back(std::move(candidate));
+  }
+  if (!fits(left)) return false;
+  settled_[job.view->team] = left;
+  settled_[job.view->team] += job.view->need.times(tasks);
+  for (const auto& victim_of_quota : chosen) stop(victim_of_quota, job);
+  job.set->preempting = one.rank;
+  job.set->preempting_until = world_.now + owner_.rules_.preempt_hold;
+  return true;
+}
+
 bool pass_state::preempt(job_state& job, const variant& one) {
   // At most one variant of a job preempts at a time.
   if (job.set->preempting && *job.set->preempting != one.rank) return false;
   const double tasks = job.view->gang ? static_cast<double>(job.left.size()) : 1;
-  if (!quota_allows(job, tasks)) return false;
+  if (!quota_allows(job, tasks)) return clear_quota(job, one, tasks);
   // Array tasks are short and end one by one: places come free sooner than they can be cleared, and
   // clearing them for each other's guarantees only wastes work.
   const bool for_guarantee = job.view->gang && within_guarantee(job, tasks);
 
   std::map<std::string, resources> room;  // of the machines chosen, once everybody told has left
   std::vector<victim> victims;
-  std::vector<resources> used = used_;
+  std::vector<resources> used = settled_;
   job_state probe = job;
   std::size_t cleared = 0;
   for (; cleared < job.left.size() && quota_allows(job, static_cast<double>(cleared + 1));
@@ -328,6 +386,8 @@
     ++probe.in_zone[best->machine->view->where.zone];
   }
   if (cleared == 0 || (job.view->gang && cleared < job.left.size())) return false;
+  settled_ = std::move(used);
+  settled_[job.view->team] += job.view->need.times(static_cast<double>(cleared));
   for (const auto& [name, left] : room)
     owner_.reserved_[name] = {job.view->id, world_.now + owner_.rules_.preempt_hold};
   for (auto& one_victim : victims) {
