--- a/src/leadership/elector.cpp
+++ b/src/leadership/elector.cpp
@@ -171,7 +171,7 @@
         if (back && valid()) spdlog::info("lease held again term={}", token_);
       } else if (answer.status == 404) {
         step_down("the lease has ended");
-      } else {
+      } else if (valid()) {
         spdlog::info("lease not renewed term={} status={}", token_, answer.status);
       }
     });
--- /dev/null
+++ b/tests/registry_test.cpp
@@ -0,0 +1,140 @@
+// What counts as proof that a task is gone, and what does not.
+#include "workers/registry.hpp"
+
+#include <gtest/gtest.h>
+
+#include "support/stand_ins.hpp"
+
+namespace gingerdrift::testing {
+
+using store::attempt_phase;
+using workers::exit_cause;
+
+namespace {
+
+constexpr std::uint64_t our_token = 7;
+
+/// A leader's registry with one stored attempt of run-1/0 on machine m, session 3.
+class proofs : public ::testing::Test {
+ protected:
+  proofs()
+      : state(net, "state:1"),
+        runtime(net, "node-0"),
+        client(runtime, "state:1", 100, 50),
+        book(runtime, client, {"gd/leader", 0}, 24,
+             {[](const std::string&) {}, [](const std::string&, store::job_status) {}, [] {},
+              [this] { return valid; }}),
+        registry(runtime, book, {seconds(1), seconds(6), seconds(5), 2, seconds(10)}, our_token,
+                 {[this] { return valid; }, [] {}, [](const std::string&) { return 50.0; }}) {
+    store::job one;
+    one.spec.id = "run-1";
+    one.spec.team = "red";
+    one.spec.tasks = 3;
+    one.units.resize(1);
+    one.units[0].stored = one.units[0].mutation;
+    store::attempt entry;
+    entry.number = 1;
+    entry.machine = "m";
+    entry.session = 3;
+    entry.phase = attempt_phase::sent;
+    one.attempts[0] = entry;
+    registry.adopt(book.insert(one));
+    registry.ready();
+  }
+  workers::report report(std::uint64_t session, std::uint64_t seq, std::uint64_t token) {
+    workers::report out;
+    out.machine = "m";
+    out.address = "m:9";
+    out.where = {"g8", "a", false};
+    out.session = session;
+    out.seq = seq;
+    out.token = token;
+    return out;
+  }
+  static workers::reported_task task(attempt_phase phase, exit_cause cause = exit_cause::none) {
+    return {"run-1", 0, 1, phase, cause};
+  }
+  bool held() { return book.find("run-1")->attempts.count(0) != 0; }
+
+  sim_net net{1};
+  state_service state;
+  sim_runtime runtime;
+  store::client client;
+  bool valid = true;
+  store::job_book book;
+  workers::registry registry;
+};
+
+}  // namespace
+
+TEST_F(proofs, a_report_with_an_older_token_proves_nothing_for_what_was_never_seen) {
+  auto said = report(3, 5, our_token - 1);
+  const auto answer = registry.handle(said);
+  EXPECT_TRUE(held());
+  EXPECT_NE(answer.find("\"run\""), std::string::npos) << "the start is sent again";
+}
+
+TEST_F(proofs, a_task_that_left_the_reports_is_gone_only_under_our_token) {
+  auto with = report(3, 5, our_token);
+  with.tasks = {task(attempt_phase::running)};
+  registry.handle(with);
+  registry.handle(report(3, 6, our_token - 1));
+  EXPECT_TRUE(held());
+  registry.handle(report(3, 7, our_token));
+  EXPECT_FALSE(held());
+}
+
+TEST_F(proofs, an_old_report_proves_nothing_and_gets_no_commands) {
+  auto with = report(3, 9, our_token);
+  with.tasks = {task(attempt_phase::running)};
+  registry.handle(with);
+  const auto answer = registry.handle(report(3, 8, our_token));
+  EXPECT_TRUE(held());
+  EXPECT_EQ(answer.find("\"verb\""), std::string::npos);
+}
+
+TEST_F(proofs, a_newer_session_is_proof) {
+  registry.handle(report(4, 1, our_token - 1));
+  EXPECT_FALSE(held());
+}
+
+TEST_F(proofs, a_lease_is_over_only_after_a_deposed_leaders_grace_too) {
+  registry.handle(report(3, 5, our_token - 1));
+  net.run_for(seconds(8));
+  registry.check_leases();
+  EXPECT_TRUE(held()) << "a deposed leader may have kept it alive";
+  net.run_for(seconds(5));
+  registry.check_leases();
+  EXPECT_FALSE(held());
+}
+
+TEST_F(proofs, the_machine_gone_is_proof) {
+  registry.machine_gone("m", "released");
+  EXPECT_FALSE(held());
+}
+
+TEST_F(proofs, a_finished_task_is_forgotten_by_its_worker_only_once_stored) {
+  auto with = report(3, 5, our_token);
+  with.tasks = {task(attempt_phase::exited, exit_cause::done)};
+  EXPECT_EQ(registry.handle(with).find("reap"), std::string::npos);
+  EXPECT_TRUE(book.find("run-1")->done.contains(0));
+  net.run_for(seconds(1));
+  with.seq = 6;
+  EXPECT_NE(registry.handle(with).find("reap"), std::string::npos);
+}
+
+TEST_F(proofs, nothing_is_started_without_a_valid_lease) {
+  valid = false;
+  EXPECT_EQ(registry.handle(report(3, 5, our_token)).find("\"run\""), std::string::npos);
+  EXPECT_TRUE(held());
+}
+
+TEST_F(proofs, nothing_is_started_before_it_is_stored) {
+  registry.handle(report(3, 5, our_token));
+  registry.place(*book.find("run-1"), 1, "m", 2);
+  EXPECT_EQ(registry.handle(report(3, 6, our_token)).find("run-1/1"), std::string::npos);
+  net.run_for(seconds(1));
+  EXPECT_NE(registry.handle(report(3, 7, our_token)).find("run-1/1"), std::string::npos);
+}
+
+}  // namespace gingerdrift::testing
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,113 @@
+#include "daemon/settings.hpp"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace gingerdrift::testing {
+
+namespace {
+
+std::string file_with(const std::string& text) {
+  const auto* info = ::testing::UnitTest::GetInstance()->current_test_info();
+  const auto path = std::filesystem::temp_directory_path() /
+                    ("gingerdrift-" + std::string(info->name()) + ".settings");
+  std::ofstream(path) << text;
+  return path.string();
+}
+
+const char* const good = R"(
+host_name = "node-0"
+front = "10.0.0.1:8080"
+mesh_addr = "10.0.0.1:8081"
+unheard_of = 3
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params.workers]
+lease_s = 24.0
+cancel_s = 44.0
+)";
+
+std::string complaint_about_platform(const std::string& text) {
+  try {
+    daemon::read_platform_settings(file_with(text));
+  } catch (const daemon::settings_error& error) {
+    return error.what();
+  }
+  return {};
+}
+
+std::string complaint_about_operators(const std::string& text) {
+  try {
+    daemon::read_operator_settings(file_with(text));
+  } catch (const daemon::settings_error& error) {
+    return error.what();
+  }
+  return {};
+}
+
+std::string replaced(const std::string& from, const std::string& to) {
+  std::string text = good;
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+TEST(settings, platform_file) {
+  EXPECT_EQ(complaint_about_platform(good), "") << "unknown fields are ignored";
+  EXPECT_NE(complaint_about_platform("x = ").find("TOML"), std::string::npos);
+  EXPECT_NE(complaint_about_platform(replaced("host_name", "other")).find("host_name: is missing"),
+            std::string::npos);
+  EXPECT_NE(complaint_about_platform(replaced("10.2.0.2:8443", "cloud")).find("services.cloud"),
+            std::string::npos);
+  EXPECT_NE(complaint_about_platform(replaced("24.0", "-1")).find("params.workers.lease_s"),
+            std::string::npos);
+  EXPECT_NE(complaint_about_platform(replaced("24.0", "\"long\"")).find("must be a number"),
+            std::string::npos);
+  EXPECT_NE(complaint_about_platform(replaced("44.0", "20")).find("longer than lease_s"),
+            std::string::npos);
+}
+
+TEST(settings, the_commented_sample_holds_the_defaults) {
+  const auto sample = daemon::read_operator_settings(std::string(GINGERDRIFT_SOURCE_DIR) +
+                                                     "/config/gingerdrift.xml");
+  const daemon::operator_settings defaults;
+  EXPECT_EQ(sample.leader_lease, defaults.leader_lease);
+  EXPECT_EQ(sample.pool_order, defaults.pool_order);
+  EXPECT_EQ(sample.create_delay, defaults.create_delay);
+  EXPECT_EQ(sample.rent_delay, defaults.rent_delay);
+  EXPECT_EQ(sample.delete_delay, defaults.delete_delay);
+  EXPECT_EQ(sample.upgrade_min_left, defaults.upgrade_min_left);
+  EXPECT_EQ(sample.preempt_hold, defaults.preempt_hold);
+  EXPECT_EQ(sample.pass_interval, defaults.pass_interval);
+  EXPECT_EQ(sample.idle_return, defaults.idle_return);
+  EXPECT_EQ(sample.refusal_backoff, defaults.refusal_backoff);
+  EXPECT_EQ(sample.boot_patience, defaults.boot_patience);
+  EXPECT_EQ(sample.silent_release, defaults.silent_release);
+  EXPECT_EQ(sample.machines_max, defaults.machines_max);
+  EXPECT_EQ(sample.sick_jobs, defaults.sick_jobs);
+  EXPECT_EQ(sample.broken_backoff, defaults.broken_backoff);
+  EXPECT_EQ(sample.waiting_submissions, defaults.waiting_submissions);
+  EXPECT_EQ(sample.final_cache, defaults.final_cache);
+}
+
+TEST(settings, operators_file) {
+  const auto with = [](const std::string& inner) {
+    return complaint_about_operators("<gingerdrift>" + inner + "</gingerdrift>");
+  };
+  EXPECT_EQ(with("<fleet><idle_return_s> 30 </idle_return_s></fleet>"), "");
+  EXPECT_NE(with("<fleet><idle_retrun_s>30</idle_retrun_s></fleet>").find("unknown element"),
+            std::string::npos);
+  EXPECT_NE(with("<flet/>").find("unknown element"), std::string::npos);
+  EXPECT_NE(with("<fleet><idle_return_s>soon</idle_return_s></fleet>").find("fleet/idle_return_s"),
+            std::string::npos);
+  EXPECT_NE(with("<admission><pool_order>spot</pool_order></admission>").find("each once"),
+            std::string::npos);
+  EXPECT_NE(with("<leadership><lease_s>0</lease_s></leadership>").find("between"),
+            std::string::npos);
+  EXPECT_NE(complaint_about_operators("<gingerdrift>").find("XML"), std::string::npos);
+}
+
+}  // namespace gingerdrift::testing
--- a/tests/support/sim_service.cpp
+++ b/tests/support/sim_service.cpp
@@ -1,7 +1,5 @@
 #include "support/sim_service.hpp"
 
-#include <spdlog/spdlog.h>
-
 namespace gingerdrift::testing {
 
 std::vector<std::string> sim_service::fronts(std::size_t count) {
@@ -12,7 +10,6 @@
 
 sim_service::sim_service(std::uint64_t seed, std::size_t count)
     : net(seed), state(net, "state:1"), site(net, shape, fronts(count)) {
-  spdlog::set_level(std::getenv("SIM_LOG") == nullptr ? spdlog::level::off : spdlog::level::debug);
   settings.cloud = "cloud:1";
   settings.state = "state:1";
   settings.zones = {"a", "b"};
