--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -36,7 +36,6 @@
 
 struct metrics {
   duration_histogram passes;
-  duration_histogram waits;  // from creation to a task's first being seen running
   std::uint64_t reports = 0;
   std::uint64_t redirected = 0;
   std::uint64_t starts = 0;
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -44,7 +44,6 @@
   /// When workers were last heard; the start of the term if never.
   time_point last_report() const { return last_report_; }
   bool expects_workers() const;
-  std::vector<admission::machine_type> types() const { return fleet_.types(); }
 
  private:
   void load(const std::string& prefix, const std::string& after);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 constexpr auto retry_after = seconds(1);
-constexpr auto forward_deadline = milliseconds(1200);
 
 const char* state_name(const progress& at) {
   if (at.status != job_status::active) return store::status_name(at.status);
--- a/src/store/job.hpp
+++ b/src/store/job.hpp
@@ -54,12 +54,10 @@
   std::uint64_t session = 0;
   // Only in the leader's memory:
   attempt_phase phase = attempt_phase::placed;
-  std::uint64_t mutation = 0;   // stored once its unit has reached this
-  bool seen = false;            // listed by its worker at least once
-  std::uint64_t sent_tick = 0;  // of the last report that was answered with its `run`
+  std::uint64_t mutation = 0;  // stored once its unit has reached this
+  bool seen = false;           // listed by its worker at least once
   bool stopping = false;
   duration grace{};
-  time_point placed_at{};
   time_point running_since{};
 };
 
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -172,7 +172,6 @@
         events_.valid() && one->attempt_stored(task, entry) && !from.notice && !from.sick;
     if (may_start) {
       entry.phase = attempt_phase::sent;
-      entry.sent_tick = said.seq;
       note_image(from, *one);
       out.push_back({verb::start, id, task, entry.number, {}});
     } else if ((from.notice || from.sick) && ours) {
@@ -271,8 +270,7 @@
 /// Tells a sick machine from a broken job: one machine that fails several jobs is sick; one job
 /// that fails on several machines is broken and waits longer each time.
 void registry::note_error(worker& at, job& one) {
-  const std::uint32_t here = ++one.errors[at.name];
-  (void)here;
+  ++one.errors[at.name];
   if (one.errors.size() >= broken_machines) {
     const auto doublings = std::min(one.error_rounds, most_backoff_doublings);
     ++one.error_rounds;
@@ -322,7 +320,6 @@
   entry.number = number;
   entry.machine = machine;
   entry.session = at.session;
-  entry.placed_at = runtime_.now();
   book_.mark(one, task);
   entry.mutation = one.units[one.unit_of(task)].mutation;
   one.attempts[task] = entry;
