--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -85,8 +85,8 @@
     term::hooks events;
     events.deposed = [this] { elector_->found_deposed(); };
     events.valid = [this] { return elector_->valid(); };
-    events.finished = [this](const std::string& id, store::job_status status) {
-      front_->remember(id, status);
+    events.finished = [this](const std::string& id, const store::final_state& end) {
+      front_->remember(id, end);
     };
     events.finished_before = [this](const std::string& id) { return front_->remembers(id); };
     term_ = std::make_unique<term>(runtime_, store_, platform_, rules_, token, leader, types_,
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -64,10 +64,10 @@
                answer_kept();
                changed();
              },
-             [this](const std::string& id, job_status status) {
-               spdlog::info("finished job={} state={} term={}", id, store::status_name(status),
+             [this](const std::string& id, const store::final_state& end) {
+               spdlog::info("finished job={} state={} term={}", id, store::status_name(end.status),
                             token_);
-               events_.finished(id, status);
+               events_.finished(id, end);
                changed();
              },
              [this] { runtime_.after(duration::zero(), events_.deposed); },
@@ -578,8 +578,10 @@
     deputy_zones_.clear();
     for (const auto& entry : found.entries) {
       versions[entry.key] = entry.version;
-      if (entry.value.value("active", true))
-        deputy_zones_.insert(entry.value.value("zone", std::string()));
+      // What can't be read counts as acting.
+      const bool idle = entry.value.is_object() && entry.value.contains("active") &&
+                        entry.value["active"] == false;
+      if (!idle) deputy_zones_.insert(store::text_field(entry.value, "zone"));
     }
     if (!deputy_zones_.empty()) {
       quiet_from_.reset();
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -22,7 +22,7 @@
   struct hooks {
     std::function<void()> deposed;
     std::function<bool()> valid;
-    std::function<void(const std::string&, store::job_status)> finished;
+    std::function<void(const std::string&, const store::final_state&)> finished;
     std::function<bool(const std::string&)> finished_before;
   };
   term(net::runtime& runtime, store::client& store, const platform_settings& platform,
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -95,7 +95,7 @@
 
 bool says_no_capacity(const std::string& text) {
   const json in = json::parse(text, nullptr, false);
-  return in.is_object() && in.value("error", std::string()) == "no capacity";
+  return in.is_object() && in.contains("error") && in["error"] == "no capacity";
 }
 
 std::string write_rent(const std::string& name, const admission::pool& where, std::uint32_t count) {
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -15,8 +15,8 @@
 }
 }  // namespace
 
-void final_cache::insert(const std::string& id, job_status status) {
-  if (!states_.emplace(id, status).second) return;
+void final_cache::insert(const std::string& id, const store::final_state& end) {
+  if (!states_.emplace(id, end).second) return;
   order_.push_back(id);
   if (order_.size() > most_) {
     states_.erase(order_.front());
@@ -94,7 +94,7 @@
   }
   const std::string id = asked.spec.id;
   if (const auto final_state = finals_.find(id)) {
-    reply({200, write_state(id, store::status_name(*final_state)), std::nullopt, false});
+    reply({200, write_state(id, store::status_name(final_state->status)), std::nullopt, false});
     return;
   }
   const auto& types = events_.types();
@@ -102,24 +102,25 @@
   const std::string why_not = impossible(asked.spec, teams_, types);
   if (!why_not.empty()) {
     // A job that was accepted once is never refused, even if types or limits have changed since.
-    store_.get(
-        store::head_key(id), [this, id, why_not, reply, alive = alive_](const store::result& head) {
-          if (!*alive) return;
-          if (head.status != 404 && !head.ok())
-            return later(reply, "the state service does not answer");
-          if (head.ok()) return known_again(id, reply);
-          store_.get(store::final_key(id), [id, why_not, reply](const store::result& last) {
-            if (last.ok() && !last.entries.empty()) {
-              const auto status = store::read_final(last.entries.front().value);
-              reply({200, write_state(id, store::status_name(status.value_or(job_status::active))),
-                     std::nullopt, false});
-            } else if (last.status == 404) {
-              reply({422, write_error(why_not), std::nullopt, false});
-            } else {
-              later(reply, "the state service does not answer");
-            }
-          });
-        });
+    store_.get(store::head_key(id), [this, id, why_not, reply,
+                                     alive = alive_](const store::result& head) {
+      if (!*alive) return;
+      if (head.status != 404 && !head.ok())
+        return later(reply, "the state service does not answer");
+      if (head.ok()) return known_again(id, reply);
+      store_.get(store::final_key(id), [id, why_not, reply](const store::result& last) {
+        if (last.ok() && !last.entries.empty()) {
+          const auto status = store::read_final(last.entries.front().value);
+          reply({200,
+                 write_state(id, store::status_name(status ? status->status : job_status::active)),
+                 std::nullopt, false});
+        } else if (last.status == 404) {
+          reply({422, write_error(why_not), std::nullopt, false});
+        } else {
+          later(reply, "the state service does not answer");
+        }
+      });
+    });
     return;
   }
   // The buffer before the store is small; when it is full the user hears so at once.
@@ -187,10 +188,11 @@
     store_.get(store::final_key(id), [this, id, reply, alive](const store::result& last) {
       if (!*alive) return;
       if (last.ok() && !last.entries.empty()) {
-        const auto status = store::read_final(last.entries.front().value);
-        if (!status) return later(reply, "the record can't be read");
-        finals_.insert(id, *status);
-        reply({200, write_progress(id, store::status_name(*status), 0, 0), std::nullopt, false});
+        const auto end = store::read_final(last.entries.front().value);
+        if (!end) return later(reply, "the record can't be read");
+        finals_.insert(id, *end);
+        reply({200, write_progress(id, store::status_name(end->status), end->done, 0), std::nullopt,
+               false});
       } else if (last.status == 404) {
         reply({404, write_error("no such job"), std::nullopt, false});
       } else {
@@ -203,7 +205,8 @@
 void front::poll(const std::string& id, const net::request& message, bool forwarded,
                  const net::reply_fn& reply) {
   if (const auto final_state = finals_.find(id)) {
-    reply({200, write_progress(id, store::status_name(*final_state), 0, 0), std::nullopt, false});
+    reply({200, write_progress(id, store::status_name(final_state->status), final_state->done, 0),
+           std::nullopt, false});
     return;
   }
   if (events_.leads()) {
@@ -228,7 +231,7 @@
 void front::withdraw(const std::string& id, const net::request& message, bool forwarded,
                      const net::reply_fn& reply) {
   if (const auto final_state = finals_.find(id)) {
-    reply({200, write_state(id, store::status_name(*final_state)), std::nullopt, false});
+    reply({200, write_state(id, store::status_name(final_state->status)), std::nullopt, false});
     return;
   }
   if (events_.leads()) {
@@ -243,8 +246,8 @@
     read_state(id, [this, id, reply, alive = alive_](const net::response& found) {
       if (!*alive) return;
       if (found.status == 200) {
-        if (const auto status = finals_.find(id)) {
-          reply({200, write_state(id, store::status_name(*status)), std::nullopt, false});
+        if (const auto end = finals_.find(id)) {
+          reply({200, write_state(id, store::status_name(end->status)), std::nullopt, false});
           return;
         }
         events_.submitted(id);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -15,17 +15,17 @@
 class final_cache {
  public:
   explicit final_cache(std::size_t most) : most_(most) {}
-  std::optional<store::job_status> find(const std::string& id) const {
+  std::optional<store::final_state> find(const std::string& id) const {
     const auto found = states_.find(id);
     if (found == states_.end()) return std::nullopt;
     return found->second;
   }
-  void insert(const std::string& id, store::job_status status);
+  void insert(const std::string& id, const store::final_state& end);
 
  private:
   std::size_t most_;
   std::list<std::string> order_;
-  std::unordered_map<std::string, store::job_status> states_;
+  std::unordered_map<std::string, store::final_state> states_;
 };
 
 /// What the leader knows of a job.
@@ -63,7 +63,7 @@
 
   /// `forwarded`: it comes from a peer and is not passed on again.
   void handle(const net::request& message, bool forwarded, const net::reply_fn& reply);
-  void remember(const std::string& id, store::job_status status) { finals_.insert(id, status); }
+  void remember(const std::string& id, const store::final_state& end) { finals_.insert(id, end); }
   bool remembers(const std::string& id) const { return finals_.find(id).has_value(); }
 
  private:
--- a/src/leadership/elector.cpp
+++ b/src/leadership/elector.cpp
@@ -119,7 +119,7 @@
     std::uint64_t token = 1;
     std::uint64_t version = 0;
     if (current.ok() && !current.entries.empty()) {
-      token = current.entries.front().value.value("token", std::uint64_t{0}) + 1;
+      token = store::number_field(current.entries.front().value, "token") + 1;
       version = current.entries.front().version;
     } else if (current.status != 404) {
       store_.drop(lease, [](const store::result&) {});
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -47,6 +47,18 @@
 
 }  // namespace
 
+std::string text_field(const json& record, const char* field) {
+  if (!record.is_object()) return {};
+  const auto found = record.find(field);
+  return found != record.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+std::uint64_t number_field(const json& record, const char* field) {
+  if (!record.is_object()) return 0;
+  const auto found = record.find(field);
+  return found != record.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
 client::client(net::runtime& runtime, std::string address, double rps, double write_rps)
     : runtime_(runtime), address_(std::move(address)), requests_(rps), writes_(write_rps) {}
 
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -13,6 +13,10 @@
 
 using json = nlohmann::json;
 
+/// Fields of records that may not be what they should be: empty or 0 then, never an exception.
+std::string text_field(const json& record, const char* field);
+std::uint64_t number_field(const json& record, const char* field);
+
 struct entry {
   std::string key;
   json value;
--- a/src/store/job.cpp
+++ b/src/store/job.cpp
@@ -2,6 +2,8 @@
 
 #include <stdexcept>
 
+#include "store/client.hpp"
+
 namespace gingerdrift::store {
 
 using json = nlohmann::json;
@@ -27,10 +29,15 @@
   return "active";
 }
 
-std::optional<job_status> read_final(const json& record) {
-  const std::string text = record.at("status").get<std::string>();
-  if (text == "done") return job_status::done;
-  if (text == "cancelled") return job_status::cancelled;
+json write_final(const job& one) {
+  return {{"status", status_name(one.status)}, {"done", one.done.count()}};
+}
+
+std::optional<final_state> read_final(const json& record) {
+  const std::string text = text_field(record, "status");
+  const auto done = static_cast<std::uint32_t>(number_field(record, "done"));
+  if (text == "done") return final_state{job_status::done, done};
+  if (text == "cancelled") return final_state{job_status::cancelled, done};
   return std::nullopt;
 }
 
--- a/src/store/job.hpp
+++ b/src/store/job.hpp
@@ -111,6 +111,12 @@
 void read_part(job& one, std::size_t unit, const nlohmann::json& record, std::uint64_t version);
 
 const char* status_name(job_status status);
-std::optional<job_status> read_final(const nlohmann::json& record);
+/// How a job ended, and how many of its tasks were done by then.
+struct final_state {
+  job_status status = job_status::done;
+  std::uint32_t done = 0;
+};
+nlohmann::json write_final(const job& one);
+std::optional<final_state> read_final(const nlohmann::json& record);
 
 }  // namespace gingerdrift::store
--- a/src/store/job_book.cpp
+++ b/src/store/job_book.cpp
@@ -131,7 +131,7 @@
     if (final_record) {
       conditions.push_back({final_key(id), 0});
       operations.push_back({key, {}, 0, true});
-      operations.push_back({final_key(id), {{"status", status_name(one->status)}}, 0, false});
+      operations.push_back({final_key(id), write_final(*one), 0, false});
     } else if (part_goes) {
       operations.push_back({key, {}, 0, true});
     } else {
@@ -176,7 +176,7 @@
 
 void job_book::applied(const std::vector<piece>& pieces, std::uint64_t revision) {
   std::set<std::string> touched;
-  std::vector<std::pair<std::string, job_status>> finished;
+  std::vector<std::pair<std::string, final_state>> finished;
   const auto alive = alive_;
   for (const auto& one : pieces) {
     job* found = find(one.id);
@@ -191,7 +191,7 @@
       queue(one.id, 0);
     }
     if (one.final_record) {
-      finished.emplace_back(one.id, found->status);
+      finished.emplace_back(one.id, final_state{found->status, found->done.count()});
     }
     touched.insert(one.id);
   }
@@ -216,10 +216,10 @@
     if (!*alive) return;
     events_.stored(id);
   }
-  for (const auto& [id, status] : finished) {
+  for (const auto& [id, end] : finished) {
     if (!*alive) return;
     jobs_.erase(id);
-    events_.gone(id, status);
+    events_.gone(id, end);
   }
 }
 
@@ -264,12 +264,12 @@
     if (version == 0 && one->leaving) {
       // The final record went in with the head's removal.
       const std::string id = one->spec.id;
-      const job_status status = one->status;
+      const final_state end{one->status, one->done.count()};
       auto waiting = std::move(waiters_[id]);
       waiters_.erase(id);
       jobs_.erase(id);
       for (auto& [mutation, done] : waiting) done(true);
-      events_.gone(id, status);
+      events_.gone(id, end);
       return;
     }
     one->units[0].version = version;
--- a/src/store/job_book.hpp
+++ b/src/store/job_book.hpp
@@ -19,7 +19,7 @@
  public:
   struct hooks {
     std::function<void(const std::string& id)> stored;  // some of this job's changes are stored
-    std::function<void(const std::string& id, job_status status)> gone;  // its final record is
+    std::function<void(const std::string& id, const final_state& end)> gone;  // its final record is
     std::function<void()> deposed;    // the leader key is another's
     std::function<bool()> may_write;  // the leader's lease is valid
   };
--- a/src/workers/deputy.cpp
+++ b/src/workers/deputy.cpp
@@ -67,7 +67,7 @@
     if (!*alive) return;
     confirming_ = false;
     if (!found.ok() || found.entries.empty()) return settle();
-    const auto token = found.entries.front().value.value("token", std::uint64_t{0});
+    const auto token = store::number_field(found.entries.front().value, "token");
     if (token != token_) entered_ = false;
     token_ = token;
     confirmed_ = found.sent;
@@ -128,7 +128,7 @@
     auto& state = jobs_[id];
     state.reading = false;
     if (found.ok() && !found.entries.empty()) {
-      state.active = found.entries.front().value.value("status", std::string()) ==
+      state.active = store::text_field(found.entries.front().value, "status") ==
                      store::status_name(store::job_status::active);
       state.read = found.sent;
     } else if (found.status == 404) {
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -22,8 +22,8 @@
         runtime(net, "node-0"),
         client(runtime, "state:1", 100, 50),
         book(runtime, client, {"gd/leader", 0}, 24,
-             {[](const std::string&) {}, [](const std::string&, store::job_status) {}, [] {},
-              [this] { return valid; }}),
+             {[](const std::string&) {}, [](const std::string&, const store::final_state&) {},
+              [] {}, [this] { return valid; }}),
         registry(runtime, book, {seconds(1), seconds(6), seconds(5), 2, seconds(10)}, our_token,
                  {[this] { return valid; }, [] {}, [](const std::string&) { return 50.0; }}) {
     store::job one;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -107,6 +107,16 @@
   EXPECT_FALSE(fleet::read_rented(R"({"hosts":3})").has_value());
   EXPECT_TRUE(fleet::says_no_capacity(R"({"error":"no capacity"})"));
   EXPECT_FALSE(fleet::says_no_capacity(R"({"error":"trouble"})"));
+  EXPECT_FALSE(fleet::says_no_capacity(R"({"error":7})"));
+  EXPECT_FALSE(fleet::says_no_capacity("no JSON"));
+}
+
+TEST(wire, final_records_that_are_malformed_are_no_state) {
+  for (const char* text : {"null", "3", "{}", R"({"status":4})", R"({"status":"lost"})"})
+    EXPECT_FALSE(store::read_final(json::parse(text)).has_value()) << text;
+  const auto end = store::read_final(json::parse(R"({"status":"done","done":7})"));
+  ASSERT_TRUE(end.has_value());
+  EXPECT_EQ(end->done, 7U);
 }
 
 TEST(wire, large_jobs_spill_and_are_read_back_whole) {
