Unused connections of the client are closed after 30 s

Found by reading: connections to machines that vanished without a word stayed open for ever and would have used up the client's share of sockets after some hundred machines. Test: http.unused_connections_of_the_client_are_closed.

--- a/src/net/uv_runtime.cpp
+++ b/src/net/uv_runtime.cpp
@@ -32,6 +32,7 @@
   std::optional<seconds> retry_after;
   std::string header_field;
   bool complete = false;
+  time_point idle_since{};
   char buffer[16384];
 };
 
@@ -49,6 +50,7 @@
     for (auto& action : actions) action();
   });
   wake_.data = this;
+  sweep();
 }
 
 uv_runtime::~uv_runtime() {
@@ -298,6 +300,7 @@
   }
   const std::string address = conn->address;
   if (keep && !conn->closing) {
+    conn->idle_since = now();
     endpoints_[address].idle.push_back(conn);
   } else {
     close(conn);
@@ -317,6 +320,23 @@
            [](uv_handle_t* handle) { delete static_cast<connection*>(handle->data); });
 }
 
+/// Guards against a slow leak: a machine that is gone without a word leaves its idle connection
+/// behind, and machines come and go for as long as this process runs.
+void uv_runtime::sweep() {
+  std::vector<connection*> stale;
+  const time_point moment = now();
+  for (auto& [address, point] : endpoints_) {
+    for (auto* conn : point.idle) {
+      if (moment - conn->idle_since > limits_.idle) stale.push_back(conn);
+    }
+  }
+  for (auto* conn : stale) close(conn);
+  std::erase_if(endpoints_, [](const auto& item) {
+    return item.second.open == 0 && item.second.queue.empty();
+  });
+  after(limits_.idle / 4, [this] { sweep(); });
+}
+
 void uv_runtime::next_queued(const std::string& address) {
   auto& point = endpoints_[address];
   if (point.queue.empty()) return;
--- a/src/net/uv_runtime.hpp
+++ b/src/net/uv_runtime.hpp
@@ -21,6 +21,7 @@
   std::size_t open_per_address = 12;
   std::size_t queued_per_address = 64;
   std::size_t body_bytes = std::size_t{4} << 20;
+  duration idle = seconds(30);  // an unused connection is closed after this
 };
 
 /// The libuv loop of the socket thread: one timer queue and a keep-alive HTTP client.
@@ -43,6 +44,7 @@
   void run();
   void stop();
   uv_loop_t* loop() { return &loop_; }
+  std::size_t open_calls() const { return open_; }
 
  private:
   struct connection;
@@ -66,6 +68,7 @@
   void close(connection* conn);
   void give_up(const std::string& address, std::uint64_t call_id);
   void next_queued(const std::string& address);
+  void sweep();
 
   uv_loop_t loop_{};
   uv_timer_t timer_{};
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -115,6 +115,31 @@
   EXPECT_EQ(server.open(), 0U);
 }
 
+TEST_F(http, unused_connections_of_the_client_are_closed) {
+  net::client_limits limits;
+  limits.idle = milliseconds(100);
+  net::uv_runtime other(limits);
+  net::http_server there(other, {}, [](const net::request&, const net::reply_fn& out) {
+    out({200, "", std::nullopt, false});
+  });
+  std::string at;
+  for (int port = 21000; port < 60000 && at.empty(); port += 41) {
+    const std::string attempt = "127.0.0.1:" + std::to_string(port);
+    if (there.listen(attempt).empty()) at = attempt;
+  }
+  other.call(at, {"GET", "/", ""}, seconds(20), [&](const net::response&) { other.stop(); });
+  other.run();
+  EXPECT_EQ(other.open_calls(), 1U);
+  std::function<void()> look = [&] {
+    if (other.open_calls() == 0) return other.stop();
+    other.after(milliseconds(20), look);
+  };
+  look();
+  other.after(seconds(20), [&] { other.stop(); });
+  other.run();
+  EXPECT_EQ(other.open_calls(), 0U);
+}
+
 TEST_F(http, nobody_answers) {
   net::uv_runtime other({});
   net::response got;
