--- a/src/admission/types.hpp
+++ b/src/admission/types.hpp
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -65,7 +66,7 @@
   resources free;         // of a machine that reports; what a new one of its type has otherwise
   bool ready = false;     // reports, and takes new tasks
   bool starting = false;  // rented, not up yet
-  std::set<std::string> images;
+  std::vector<std::string> images;
 };
 
 struct placed_view {
@@ -74,7 +75,7 @@
   pool where;
   bool running = false;
   bool stopping = false;
-  duration ran{};  // since it was first seen running
+  time_point running_since{};  // when it was first seen running
 };
 
 struct job_view {
@@ -82,7 +83,7 @@
   std::size_t team = 0;
   admission::priority level = priority::standard;
   std::int64_t created_ms = 0;
-  duration age{};
+  time_point created{};  // by the leader's clock
   bool gang = false;
   std::uint32_t total = 0;
   resources need;  // of each task
@@ -99,7 +100,8 @@
   std::vector<std::uint32_t> waiting;  // tasks to place now; a gang's: all of them or lost ones
   std::vector<placed_view> placed;     // whatever is not proven gone
   std::set<std::string> avoid;         // machines it failed on
-  bool held_back = false;              // backing off, or waiting for an old attempt to go
+  bool held_back = false;              // waits for an old attempt to go
+  time_point not_before{};             // backs off until then
 };
 
 /// 0 in a field: no guarantee, no limit.
@@ -111,12 +113,14 @@
   double gpus_max = 0;
 };
 
+/// The views are shared with whoever made them, and never change: a snapshot of a large fleet is
+/// a list of pointers, and only what has changed since the last one was written anew.
 struct snapshot {
   time_point now;
   std::vector<machine_type> types;
   std::vector<team_view> teams;
-  std::vector<machine_view> machines;
-  std::vector<job_view> jobs;
+  std::vector<std::shared_ptr<const machine_view>> machines;
+  std::vector<std::shared_ptr<const job_view>> jobs;
   std::set<pool> refused;  // no capacity there lately
 };
 
@@ -146,6 +150,9 @@
   duration delete_delay = seconds(60);
   duration upgrade_min_left = seconds(120);
   duration preempt_hold = seconds(20);
+  duration gather_delay = seconds(60);  // a gang that waits longer has its room kept for it
+  double gather_share = 0.1;            // of the machines of its pool, at most, for all such gangs
+  std::uint32_t preemptions = 12;       // searches for victims in one pass, at most
 };
 
 }  // namespace gingerdrift::admission
--- a/src/admission/variants.cpp
+++ b/src/admission/variants.cpp
@@ -53,7 +53,7 @@
   auto [found, fresh] = sets_.try_emplace(job.id);
   variant_set& set = found->second;
   if (fresh) {
-    set.created = world.now - job.age;
+    set.created = job.created;
     set.variants = create(job, world);
   }
   if (job.placed.empty()) {
@@ -64,8 +64,12 @@
   if (set.preempting && (world.now >= set.preempting_until || job.waiting.empty()))
     set.preempting.reset();
 
+  const bool may_upgrade = job.waiting.empty() && set.admitted &&
+                           world.now - *set.admitted < rules_.delete_delay &&
+                           job.estimate >= rules_.upgrade_min_left;
   std::uint32_t lowest = 0;  // the lowest tier that runs: only better ones stay, for an upgrade
   for (const auto& place : job.placed) {
+    if (!may_upgrade) break;
     for (const auto& one : set.variants) {
       if (one.where.type == place.where.type && one.where.spot == place.where.spot)
         lowest = std::max(lowest, one.tier);
@@ -76,8 +80,7 @@
     if (!job.waiting.empty()) {
       one.active = created;
     } else {
-      one.active = created && set.admitted && one.tier < lowest &&
-                   world.now - *set.admitted < rules_.delete_delay;
+      one.active = created && may_upgrade && one.tier < lowest;
     }
   }
   return set;
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -8,6 +8,7 @@
 constexpr auto types_retry = seconds(3);
 constexpr auto types_refresh = seconds(120);
 constexpr auto types_deadline = seconds(4);
+constexpr auto account_period = seconds(30);
 constexpr auto watch_period = milliseconds(500);
 constexpr auto store_patience = seconds(2);
 constexpr auto forward_deadline = milliseconds(1200);
@@ -57,9 +58,11 @@
   };
   users.types = [this]() -> const std::vector<admission::machine_type>& { return types_; };
   users.status = [this] { return status(); };
-  front_ = std::make_unique<front::front>(
-      runtime_, store_, front::options{rules_.waiting_submissions, rules_.final_cache},
-      platform_.teams, std::move(users));
+  front_ =
+      std::make_unique<front::front>(runtime_, store_,
+                                     front::options{rules_.waiting_submissions, rules_.final_cache,
+                                                    store::unit_tasks_for(platform_.value_kb)},
+                                     platform_.teams, std::move(users));
 
   std::map<std::string, std::string> peers;
   for (const auto& one : platform_.peers) peers[one.node] = one.address;
@@ -119,6 +122,7 @@
   *alive_ = false;
   runtime_.cancel(types_timer_);
   runtime_.cancel(watch_timer_);
+  runtime_.cancel(account_timer_);
   term_.reset();
 }
 
@@ -129,6 +133,7 @@
   read_types();
   fetch_types();
   watch_over();
+  account_timer_ = runtime_.after(account_period, [this] { account(); });
 }
 
 /// The machine types as another controller stored them, for a start while the cloud is down.
@@ -169,6 +174,12 @@
   return runtime_.now() - store_.last_answer() < store_patience;
 }
 
+/// The account by duty, for whoever reads the log of a busy deployment.
+void controller::account() {
+  account_timer_ = runtime_.after(account_period, [this] { account(); });
+  if (leads()) spdlog::info("account {}", status());
+}
+
 /// A leader that no worker reaches, while workers knock at its peers, makes room for one of them.
 void controller::watch_over() {
   watch_timer_ = runtime_.after(watch_period, [this] { watch_over(); });
@@ -190,13 +201,17 @@
       reply({405, front::write_error("method not allowed"), std::nullopt, false});
       return;
     }
+    const stopwatch watch(numbers_.on_reports);
     report(message, reply);
     return;
   }
+  ++numbers_.users;
+  const stopwatch watch(numbers_.on_users);
   front_->handle(message, false, reply);
 }
 
 void controller::handle_mesh(const net::request& message, const net::reply_fn& reply) {
+  const stopwatch watch(numbers_.on_peers);
   mesh_->handle(message, reply);
 }
 
@@ -259,7 +274,15 @@
                         {"starts", numbers_.starts},
                         {"preemptions", numbers_.preemptions},
                         {"upgrades", numbers_.upgrades},
-                        {"passes", numbers_.passes.summary()}};
+                        {"passes", numbers_.passes.summary()},
+                        {"users", numbers_.users},
+                        {"spent_s",
+                         {{"reports", to_seconds(numbers_.on_reports)},
+                          {"users", to_seconds(numbers_.on_users)},
+                          {"peers", to_seconds(numbers_.on_peers)},
+                          {"views", to_seconds(numbers_.on_views)},
+                          {"passes", to_seconds(numbers_.passes.total())},
+                          {"orders", to_seconds(numbers_.on_orders)}}}};
   for (const auto& [name, peer] : mesh_->peers()) {
     out["peers"][name] = {{"heard", mesh_->heard_lately(peer)}, {"store_works", peer.store_works}};
   }
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -32,6 +32,7 @@
   void fetch_types();
   void read_types();
   void watch_over();
+  void account();
   bool store_works() const;
   std::string status();
 
@@ -50,6 +51,7 @@
   std::vector<time_point> knocks_;  // reports of workers this node redirected lately
   net::timer_id types_timer_ = 0;
   net::timer_id watch_timer_ = 0;
+  net::timer_id account_timer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -33,8 +33,9 @@
 
 int run(const daemon::platform_settings& platform, const daemon::operator_settings& rules) {
   net::client_limits limits;
-  // A third of the sockets for calls, half for the front, the rest as a reserve.
-  limits.open_total = platform.max_connections / 3;
+  // The front takes the most: every worker of a full fleet keeps a connection open, and so do
+  // users. A fifth is for calls, the rest a reserve.
+  limits.open_total = platform.max_connections / 5;
   net::uv_runtime runtime(limits);
   admission::policy policy;
   policy.spot_first = rules.pool_order.front() == "spot";
@@ -50,7 +51,7 @@
   daemon::controller controller(runtime, planner, platform, rules, seed);
 
   net::server_limits front_limits;
-  front_limits.connections = platform.max_connections / 2;
+  front_limits.connections = platform.max_connections * 7 / 10;
   net::http_server front(runtime, front_limits,
                          [&](const net::request& message, const net::reply_fn& reply) {
                            controller.handle_front(message, reply);
--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -11,7 +11,11 @@
 /// Durations on a logarithmic scale, for the status view. Used by the socket thread alone.
 class duration_histogram {
  public:
-  void add(duration value) { counts_(to_seconds(value) * 1000); }
+  void add(duration value) {
+    total_ += value;
+    counts_(to_seconds(value) * 1000);
+  }
+  duration total() const { return total_; }
   nlohmann::json summary() const {
     double total = 0;
     for (auto&& cell : boost::histogram::indexed(counts_, boost::histogram::coverage::all))
@@ -29,13 +33,34 @@
     }
     return 0;
   }
+  duration total_{};
   using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
   boost::histogram::histogram<std::tuple<axis>> counts_ =
       boost::histogram::make_histogram(axis(30, 0.01, 10000.0));
 };
 
+/// Time spent on one duty, as the process's own clock shows it.
+class stopwatch {
+ public:
+  explicit stopwatch(duration& sum) : sum_(sum) {}
+  ~stopwatch() { sum_ += std::chrono::steady_clock::now() - begun_; }
+  stopwatch(const stopwatch&) = delete;
+  stopwatch& operator=(const stopwatch&) = delete;
+
+ private:
+  duration& sum_;
+  time_point begun_ = std::chrono::steady_clock::now();
+};
+
 struct metrics {
   duration_histogram passes;
+  // By duty, of the socket thread:
+  duration on_reports{};
+  duration on_users{};
+  duration on_peers{};
+  duration on_views{};
+  duration on_orders{};
+  std::uint64_t users = 0;
   std::uint64_t reports = 0;
   std::uint64_t redirected = 0;
   std::uint64_t starts = 0;
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -75,7 +75,7 @@
   duration refusal_backoff = seconds(10);
   double boot_patience = 3.0;
   duration silent_release = seconds(0);  // 0: the workers' lease
-  std::uint32_t machines_max = 1000;
+  std::uint32_t machines_max = 5000;
   // workers
   std::uint32_t sick_jobs = 2;
   duration broken_backoff = seconds(10);
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -16,6 +16,8 @@
 constexpr auto watch_pause = seconds(1);
 constexpr auto tick_period = seconds(1);
 constexpr std::size_t most_waiting_in_view = 256;
+constexpr int pass_spacing = 3;
+constexpr duration longest_pause = seconds(1);
 /// A machine costs at least this much time, so it is not returned before.
 constexpr auto least_paid = seconds(60);
 constexpr duration longest_kept = milliseconds(400);
@@ -297,7 +299,11 @@
   dirty_ = true;
   if (!ready_ || planning_ || pass_timer_ != 0) return;
   const time_point now = runtime_.now();
-  const time_point next = std::max(now + milliseconds(10), last_pass_ + rules_.pass_interval);
+  // A pass over a large fleet may take long on a small share of a core: reports and users wait
+  // meanwhile, so that passes get a part of the time and no more.
+  const duration pause =
+      std::clamp<duration>(pass_took_ * pass_spacing, rules_.pass_interval, longest_pause);
+  const time_point next = std::max(now + milliseconds(10), last_pass_ + pause);
   pass_timer_ = runtime_.after(next - now, [this] {
     pass_timer_ = 0;
     pass();
@@ -311,29 +317,37 @@
   ++passes_begun_;
   dirty_ = false;
   last_pass_ = runtime_.now();
-  plans_.plan(token_, picture(),
+  plans_.plan(token_, timed_picture(),
               [this, alive = alive_](const admission::decisions& made, duration took) {
                 if (!*alive) return;
                 planning_ = false;
                 ++passes_done_;
                 numbers_.passes.add(took);
-                if (events_.valid()) apply(made);
+                if (events_.valid()) {
+                  const stopwatch watch(numbers_.on_orders);
+                  apply(made);
+                }
+                pass_took_ = runtime_.now() - last_pass_;
                 answer_kept();
                 if (dirty_) changed();
               });
 }
 
-admission::job_view term::view(const job& one, std::size_t team) const {
-  admission::job_view out;
+/// What a pass sees of a job. Written anew only when something it shows has changed: a snapshot of
+/// a large fleet is then a list of pointers.
+std::shared_ptr<const admission::job_view> term::view(job& one) const {
+  if (one.view) return one.view;
+  auto made = std::make_shared<admission::job_view>();
+  auto& out = *made;
   const auto& spec = one.spec;
   const time_point now = runtime_.now();
   out.id = spec.id;
-  out.team = team;
+  out.team = team_index_.at(spec.team);
   out.level = spec.level;
   out.created_ms = one.created_ms;
   const auto wall =
       std::chrono::duration_cast<milliseconds>(runtime_.wall_now().time_since_epoch()).count();
-  out.age = milliseconds(std::max<std::int64_t>(0, wall - one.created_ms));
+  out.created = now - milliseconds(std::max<std::int64_t>(0, wall - one.created_ms));
   out.gang = spec.gang;
   out.total = spec.tasks;
   out.need = spec.need;
@@ -347,8 +361,9 @@
   out.estimate = spec.estimate;
   out.checkpoint = spec.checkpoint;
   out.save = spec.save;
-  out.held_back = now < one.not_before;
+  out.not_before = one.not_before;
   bool joinable = true;
+  bool lasting = true;
   for (const auto& [task, entry] : one.attempts) {
     admission::placed_view place;
     place.task = task;
@@ -360,10 +375,13 @@
       if (listed != fleet_.all().end()) place.where = listed->second.where;
     }
     // A machine nobody knows a zone of: nothing may be started beside its tasks.
-    if (place.where.zone.empty() && (spec.one_zone || spec.spread)) out.held_back = true;
+    if (place.where.zone.empty()) {
+      lasting = false;
+      if (spec.one_zone || spec.spread) out.held_back = true;
+    }
     place.running = entry.phase == attempt_phase::running;
     place.stopping = entry.stopping;
-    if (place.running) place.ran = now - entry.running_since;
+    if (place.running) place.running_since = entry.running_since;
     if (entry.stopping || !entry.seen || place.running) joinable = false;
     out.placed.push_back(std::move(place));
   }
@@ -383,7 +401,30 @@
       out.held_back = true;
   }
   for (const auto& [machine, count] : one.errors) out.avoid.insert(machine);
-  return out;
+  if (lasting) one.view = made;
+  return made;
+}
+
+std::shared_ptr<const admission::machine_view> term::view(
+    workers::worker& at, const admission::machine_type& type) const {
+  const bool ready = workers_.takes_tasks(at) && !fleet_.releasing(at.name);
+  if (at.view && at.view->ready == ready) return at.view;
+  auto made = std::make_shared<admission::machine_view>();
+  made->name = at.name;
+  made->where = at.where;
+  made->free = type.size;
+  for (const auto& [id, task] : at.attempts) {
+    if (const job* one = book_.find(id); one != nullptr) made->free -= one->spec.need;
+  }
+  made->ready = ready;
+  for (const auto& [image, gb] : at.images) made->images.push_back(image);
+  at.view = made;
+  return made;
+}
+
+admission::snapshot term::timed_picture() {
+  const stopwatch watch(numbers_.on_views);
+  return picture();
 }
 
 admission::snapshot term::picture() {
@@ -395,31 +436,22 @@
   std::map<std::string, const admission::machine_type*> types;
   for (const auto& type : world.types) types[type.name] = &type;
 
-  std::map<std::string, admission::resources> used;
-  for (const auto& [id, one] : book_.all()) {
-    world.jobs.push_back(view(one, team_index_.at(one.spec.team)));
-    for (const auto& [task, entry] : one.attempts) used[entry.machine] += one.spec.need;
-  }
+  world.jobs.reserve(book_.all().size());
+  for (auto& [id, one] : book_.all()) world.jobs.push_back(view(one));
   for (auto& [name, at] : workers_.all()) {
-    if (!at.reported || types.count(at.where.type) == 0) continue;
-    admission::machine_view machine;
-    machine.name = name;
-    machine.where = at.where;
-    machine.free = types[at.where.type]->size;
-    if (const auto found = used.find(name); found != used.end()) machine.free -= found->second;
-    machine.ready = workers_.takes_tasks(at) && !fleet_.releasing(name);
-    for (const auto& [image, gb] : at.images) machine.images.insert(image);
-    world.machines.push_back(std::move(machine));
+    if (!at.reported) continue;
+    const auto type = types.find(at.where.type);
+    if (type != types.end()) world.machines.push_back(view(at, *type->second));
   }
   for (const auto& coming : fleet_.starting()) {
     const auto* at = workers_.find(coming.name);
     if (types.count(coming.where.type) == 0) continue;
     if (at != nullptr && (at->reported || !at->attempts.empty())) continue;
-    admission::machine_view machine;
-    machine.name = coming.name;
-    machine.where = coming.where;
-    machine.free = types[coming.where.type]->size;
-    machine.starting = true;
+    auto machine = std::make_shared<admission::machine_view>();
+    machine->name = coming.name;
+    machine->where = coming.where;
+    machine->free = types[coming.where.type]->size;
+    machine->starting = true;
     world.machines.push_back(std::move(machine));
   }
   world.refused = fleet_.refused();
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -52,8 +52,11 @@
   void take_in(const store::entry& found);
   void changed();
   void pass();
+  admission::snapshot timed_picture();
   admission::snapshot picture();
-  admission::job_view view(const store::job& one, std::size_t team) const;
+  std::shared_ptr<const admission::job_view> view(store::job& one) const;
+  std::shared_ptr<const admission::machine_view> view(workers::worker& at,
+                                                      const admission::machine_type& type) const;
   void apply(const admission::decisions& made);
   bool may_start(const store::job& one, std::uint32_t task, const workers::worker& at);
   void answer_kept();
@@ -97,6 +100,7 @@
   bool planning_ = false;
   bool dirty_ = false;
   time_point last_pass_{};
+  duration pass_took_{};  // the last one, from picture to orders
   time_point started_;
   time_point last_report_;
   net::timer_id pass_timer_ = 0;
--- a/src/fleet/inventory.hpp
+++ b/src/fleet/inventory.hpp
@@ -18,7 +18,7 @@
   duration refusal_backoff = seconds(10);
   double boot_patience = 3;
   duration silence = seconds(30);  // a running machine nobody hears of is returned after this
-  std::uint32_t machines_max = 1000;
+  std::uint32_t machines_max = 5000;
 };
 
 /// A machine as the cloud shows it.
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -128,26 +128,27 @@
   ++waiting_;
   const auto created =
       std::chrono::duration_cast<milliseconds>(runtime_.wall_now().time_since_epoch()).count();
-  store_.txn({{store::head_key(id), 0}, {store::final_key(id), 0}},
-             {{store::head_key(id), store::write_new(asked.spec, created), 0, false}},
-             [this, id, message, forwarded, reply, alive = alive_](const store::result& answer) {
-               if (!*alive) return;
-               --waiting_;
-               if (answer.ok()) {
-                 events_.submitted(id);
-                 reply({201, write_state(id, "pending"), std::nullopt, false});
-               } else if (answer.status == 409) {
-                 known_again(id, reply);
-               } else if (!forwarded && answer.status != 429) {
-                 // This node may be the only one that the store refuses.
-                 events_.pass_on(message, [reply](const net::response& theirs) {
-                   if (theirs.status == 0) return later(reply, "the state service does not answer");
-                   reply(theirs);
-                 });
-               } else {
-                 later(reply, "the state service does not answer");
-               }
-             });
+  store_.txn(
+      {{store::head_key(id), 0}, {store::final_key(id), 0}},
+      {{store::head_key(id), store::write_new(asked.spec, created, how_.unit_tasks), 0, false}},
+      [this, id, message, forwarded, reply, alive = alive_](const store::result& answer) {
+        if (!*alive) return;
+        --waiting_;
+        if (answer.ok()) {
+          events_.submitted(id);
+          reply({201, write_state(id, "pending"), std::nullopt, false});
+        } else if (answer.status == 409) {
+          known_again(id, reply);
+        } else if (!forwarded && answer.status != 429) {
+          // This node may be the only one that the store refuses.
+          events_.pass_on(message, [reply](const net::response& theirs) {
+            if (theirs.status == 0) return later(reply, "the state service does not answer");
+            reply(theirs);
+          });
+        } else {
+          later(reply, "the state service does not answer");
+        }
+      });
 }
 
 void front::known_again(const std::string& id, const net::reply_fn& reply) {
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -38,6 +38,7 @@
 struct options {
   std::uint32_t waiting_submissions = 64;
   std::uint32_t final_cache = 4096;
+  std::uint32_t unit_tasks = 48;  // tasks that one record of a job holds
 };
 
 /// The users' interface, the same on every controller.
--- a/src/store/job.cpp
+++ b/src/store/job.cpp
@@ -1,5 +1,6 @@
 #include "store/job.hpp"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "store/client.hpp"
@@ -91,9 +92,8 @@
 
 /// The attempts and finished tasks of one unit; finished tasks as ranges.
 void write_tasks(const job& one, std::size_t unit, json& out) {
-  const std::uint32_t first =
-      unit == 0 ? 0 : static_cast<std::uint32_t>(unit - 1) * job::unit_tasks;
-  const std::uint32_t last = std::min(first + job::unit_tasks, one.spec.tasks) - 1;
+  const std::uint32_t first = unit == 0 ? 0 : static_cast<std::uint32_t>(unit - 1) * one.unit_tasks;
+  const std::uint32_t last = std::min(first + one.unit_tasks, one.spec.tasks) - 1;
   out["next_try"] = one.units[unit].next_try;
   json done = json::array();
   auto range = one.done.ranges().upper_bound(first);
@@ -140,6 +140,7 @@
 json write_head(const job& one) {
   json out = {{"spec", write_spec(one.spec)},
               {"created", one.created_ms},
+              {"unit", one.unit_tasks},
               {"status", status_name(one.status)}};
   if (!one.large()) write_tasks(one, 0, out);
   return out;
@@ -151,10 +152,20 @@
   return out;
 }
 
-json write_new(const job_spec& spec, std::int64_t created_ms) {
+std::uint32_t unit_tasks_for(double value_kb) {
+  // A job's description and its finished ranges take the rest; machine names may be long.
+  constexpr double description = 2048;
+  constexpr double attempt_bytes = 40;
+  constexpr double most = 400;
+  const double fits = (value_kb * 1024 - description) / attempt_bytes;
+  return static_cast<std::uint32_t>(std::clamp<double>(fits, job::least_unit, most));
+}
+
+json write_new(const job_spec& spec, std::int64_t created_ms, std::uint32_t unit_tasks) {
   job fresh;
   fresh.spec = spec;
   fresh.created_ms = created_ms;
+  fresh.unit_tasks = unit_tasks;
   fresh.units.resize(1);
   return write_head(fresh);
 }
@@ -164,8 +175,10 @@
   out.spec = read_spec(record.at("spec"));
   out.created_ms = record.at("created").get<std::int64_t>();
   if (out.spec.tasks == 0 || out.spec.tasks > 100000) throw std::invalid_argument("tasks");
+  out.unit_tasks = record.at("unit").get<std::uint32_t>();
+  if (out.unit_tasks < job::least_unit) throw std::invalid_argument("unit");
   const auto parts =
-      out.large() ? (out.spec.tasks + job::unit_tasks - 1) / job::unit_tasks : std::size_t{0};
+      out.large() ? (out.spec.tasks + out.unit_tasks - 1) / out.unit_tasks : std::size_t{0};
   out.units.resize(1 + parts);
   for (auto& unit : out.units) unit.stored = unit.mutation;
   out.units[0].version = version;
--- a/src/store/job.hpp
+++ b/src/store/job.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -73,7 +74,7 @@
 /// A job as the leader holds it. Jobs of up to `unit_tasks` tasks are one key; larger ones spill
 /// their attempts and finished ranges into part keys, which keeps every value small.
 struct job {
-  static constexpr std::uint32_t unit_tasks = 48;
+  static constexpr std::uint32_t least_unit = 16;
 
   job_spec spec;
   std::int64_t created_ms = 0;
@@ -87,8 +88,11 @@
   std::map<std::string, std::uint32_t> errors;  // machine -> count
   std::uint32_t error_rounds = 0;
   time_point not_before{};
-  std::uint64_t gang_try = 0;  // of the attempt under way
-  bool gang_started = false;   // some member was seen running
+  std::uint64_t gang_try = 0;             // of the attempt under way
+  bool gang_started = false;              // some member was seen running
+  std::uint32_t unit_tasks = least_unit;  // tasks a key holds; stored, for it follows the settings
+  /// What a scheduling pass sees of it; empty once anything it shows has changed.
+  std::shared_ptr<const admission::job_view> view;
 
   bool large() const { return spec.tasks > unit_tasks; }
   std::size_t unit_of(std::uint32_t task) const { return large() ? 1 + task / unit_tasks : 0; }
@@ -105,7 +109,9 @@
 
 nlohmann::json write_head(const job& one);
 nlohmann::json write_part(const job& one, std::size_t unit);
-nlohmann::json write_new(const job_spec& spec, std::int64_t created_ms);
+nlohmann::json write_new(const job_spec& spec, std::int64_t created_ms, std::uint32_t unit_tasks);
+/// How many tasks a key holds: the more, the fewer of the store's writes a large array takes.
+std::uint32_t unit_tasks_for(double value_kb);
 /// These throw on records that are not ours to read.
 job read_head(const nlohmann::json& record, std::uint64_t version);
 void read_part(job& one, std::size_t unit, const nlohmann::json& record, std::uint64_t version);
--- a/src/store/job_book.cpp
+++ b/src/store/job_book.cpp
@@ -31,6 +31,11 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
+const job* job_book::find(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
 job& job_book::insert(job one) {
   const std::string id = one.spec.id;
   return jobs_.insert_or_assign(id, std::move(one)).first->second;
@@ -43,11 +48,13 @@
 
 void job_book::mark(job& one, std::uint32_t task) {
   const std::size_t unit = one.unit_of(task);
+  one.view.reset();
   ++one.units[unit].mutation;
   queue(one.spec.id, unit);
 }
 
 void job_book::mark_head(job& one) {
+  one.view.reset();
   ++one.units[0].mutation;
   queue(one.spec.id, 0);
 }
--- a/src/store/job_book.hpp
+++ b/src/store/job_book.hpp
@@ -30,6 +30,7 @@
   job_book& operator=(const job_book&) = delete;
 
   job* find(const std::string& id);
+  const job* find(const std::string& id) const;
   job& insert(job one);
   std::unordered_map<std::string, job>& all() { return jobs_; }
   const std::unordered_map<std::string, job>& all() const { return jobs_; }
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -57,7 +57,14 @@
   from.last_answer = now;
   from.name = said.machine;
   from.address = said.address;
-  from.where = said.where;
+  if (!from.reported || from.where != said.where) {
+    from.where = said.where;
+    from.view.reset();
+    // Where its tasks run was not known before.
+    for (const auto& [id, task] : from.attempts) {
+      if (job* one = book_.find(id); one != nullptr) one->view.reset();
+    }
+  }
   const bool newer = !from.reported || said.session > from.session ||
                      (said.session == from.session && said.seq > from.seq);
   // An old report has its list's age: it proves nothing and gets no commands.
@@ -153,6 +160,7 @@
     job* one = book_.find(id);
     if (one == nullptr) {
       from.attempts.erase({id, task});
+      from.view.reset();
       continue;
     }
     auto& entry = one->attempts.at(task);
@@ -182,6 +190,7 @@
 
 void registry::listed(worker& from, job& one, std::uint32_t task, const reported_task& said) {
   auto& entry = one.attempts.at(task);
+  if (!entry.seen || entry.phase != said.phase) one.view.reset();
   entry.seen = true;
   if (said.phase == attempt_phase::exited) {
     exited(from, one, task, said.cause);
@@ -196,8 +205,11 @@
 }
 
 void registry::exited(worker& from, job& one, std::uint32_t task, exit_cause cause) {
-  spdlog::info("exit job={} task={} try={} machine={} cause={} term={}", one.spec.id, task,
-               one.attempts.at(task).number, from.name, cause_name(cause), token_);
+  const auto level = cause == exit_cause::done || cause == exit_cause::stopped
+                         ? spdlog::level::debug
+                         : spdlog::level::info;
+  spdlog::log(level, "exit job={} task={} try={} machine={} cause={} term={}", one.spec.id, task,
+              one.attempts.at(task).number, from.name, cause_name(cause), token_);
   if (cause == exit_cause::done) {
     from.failed_jobs.clear();
     finish_task(one, task);
@@ -205,19 +217,22 @@
   }
   if (cause == exit_cause::error) note_error(from, one);
   if (cause == exit_cause::unknown) one.not_before = runtime_.now() + seconds(2);
-  from.attempts.erase({one.spec.id, task});
-  if (from.attempts.empty()) from.idle_since = runtime_.now();
+  drop_attempt(from, one, task);
   one.attempts.erase(task);
   book_.mark(one, task);
   after_loss(one, false);
 }
 
+void registry::drop_attempt(worker& at, const job& one, std::uint32_t task) {
+  at.attempts.erase({one.spec.id, task});
+  at.view.reset();
+  if (at.attempts.empty()) at.idle_since = runtime_.now();
+}
+
 void registry::finish_task(job& one, std::uint32_t task) {
   const auto it = one.attempts.find(task);
   if (it != one.attempts.end()) {
-    auto& at = workers_[it->second.machine];
-    at.attempts.erase({one.spec.id, task});
-    if (at.attempts.empty()) at.idle_since = runtime_.now();
+    drop_attempt(workers_[it->second.machine], one, task);
     one.attempts.erase(it);
   }
   one.done.insert(task);
@@ -242,9 +257,7 @@
   if (it == one.attempts.end()) return;
   spdlog::info("gone job={} task={} try={} machine={} proof=\"{}\" term={}", one.spec.id, task,
                it->second.number, it->second.machine, proof, token_);
-  auto& at = workers_[it->second.machine];
-  at.attempts.erase({one.spec.id, task});
-  if (at.attempts.empty()) at.idle_since = runtime_.now();
+  drop_attempt(workers_[it->second.machine], one, task);
   one.attempts.erase(it);
   book_.mark(one, task);
   after_loss(one, true);
@@ -253,6 +266,7 @@
 void registry::after_loss(job& one, bool machine_lost) {
   events_.changed();
   if (one.attempts.empty()) {
+    one.view.reset();
     one.gang_started = false;
     one.gang_try = 0;
     if (one.status != job_status::active) book_.retire(one);
@@ -271,6 +285,7 @@
 /// that fails on several machines is broken and waits longer each time.
 void registry::note_error(worker& at, job& one) {
   ++one.errors[at.name];
+  one.view.reset();
   if (one.errors.size() >= broken_machines) {
     const auto doublings = std::min(one.error_rounds, most_backoff_doublings);
     ++one.error_rounds;
@@ -300,6 +315,7 @@
 }
 
 void registry::note_image(worker& at, const job& one) {
+  at.view.reset();
   std::erase_if(at.images, [&](const auto& item) { return item.first == one.spec.image; });
   at.images.emplace_front(one.spec.image, one.spec.image_gb);
   double sum = 0;
@@ -324,6 +340,7 @@
   entry.mutation = one.units[one.unit_of(task)].mutation;
   one.attempts[task] = entry;
   at.attempts.emplace(one.spec.id, task);
+  at.view.reset();
 }
 
 void registry::stop(job& one, const std::vector<std::uint32_t>& tasks, duration grace) {
@@ -336,6 +353,7 @@
     if (entry.stopping && grace >= entry.grace) continue;
     entry.stopping = true;
     entry.grace = grace;
+    one.view.reset();
     by_machine[entry.machine].push_back({verb::stop, one.spec.id, task, entry.number, grace});
   }
   if (!by_machine.empty()) send_stops(by_machine);
--- a/src/workers/registry.hpp
+++ b/src/workers/registry.hpp
@@ -37,6 +37,8 @@
   std::set<std::string> failed_jobs;                  // ended with an error here, none done since
   bool sick = false;
   time_point idle_since{};
+  /// What a scheduling pass sees of it; empty once anything it shows has changed.
+  std::shared_ptr<const admission::machine_view> view;
 };
 
 /// Reports in, commands out, and the proofs that a task is gone.
@@ -82,6 +84,7 @@
   void apply(worker& from, const report& said, std::vector<command>& out);
   void listed(worker& from, store::job& one, std::uint32_t task, const reported_task& said);
   void exited(worker& from, store::job& one, std::uint32_t task, exit_cause cause);
+  void drop_attempt(worker& at, const store::job& one, std::uint32_t task);
   void lose(store::job& one, std::uint32_t task, const char* proof);
   void finish_task(store::job& one, std::uint32_t task);
   void after_loss(store::job& one, bool machine_lost);
--- a/tests/support/admission_trace.cpp
+++ b/tests/support/admission_trace.cpp
@@ -73,13 +73,13 @@
 
  private:
   job_view& find(const std::string& id) {
-    for (auto& one : world_.jobs) {
+    for (auto& one : jobs_) {
       if (one.id == id) return one;
     }
     throw std::invalid_argument("no job " + id);
   }
   machine_view& machine(const std::string& name) {
-    for (auto& one : world_.machines) {
+    for (auto& one : machines_) {
       if (one.name == name) return one;
     }
     throw std::invalid_argument("no machine " + name);
@@ -103,7 +103,7 @@
     place.machine = name;
     place.where = machine(name).where;
     place.running = true;
-    place.ran = from_seconds(ran);
+    place.running_since = world_.now - from_seconds(ran);
     machine(name).free -= one.need;
     std::erase(one.waiting, task);
     one.placed.push_back(place);
@@ -117,6 +117,8 @@
       rules_.rent_delay = from_seconds(in.number("rent", 20));
       rules_.delete_delay = from_seconds(in.number("delete", 60));
       rules_.upgrade_min_left = from_seconds(in.number("min_left", 120));
+      rules_.gather_delay = from_seconds(in.number("gather", 60));
+      rules_.gather_share = in.number("share", 0.1);
     } else if (verb == "team") {
       world_.teams.push_back({in.words.at(1), in.number("cpus", 0), in.number("cpus_max", 0),
                               in.number("gpus", 0), in.number("gpus_max", 0)});
@@ -134,11 +136,11 @@
       one.where = {in.words.at(2), in.words.at(3), in.flags.count("spot") != 0};
       one.ready = in.flags.count("starting") == 0;
       one.starting = !one.ready;
-      for (const auto& image : split(in.text("images"))) one.images.insert(image);
+      for (const auto& image : split(in.text("images"))) one.images.push_back(image);
       for (const auto& type : world_.types) {
         if (type.name == one.where.type) one.free = type.size;
       }
-      world_.machines.push_back(one);
+      machines_.push_back(one);
     } else if (verb == "job") {
       job_view one;
       one.id = in.words.at(1);
@@ -158,16 +160,16 @@
       one.checkpoint = from_seconds(in.number("checkpoint", 30));
       one.save = from_seconds(in.number("save", 3));
       one.created_ms = ++created_;
-      one.age = from_seconds(in.number("age", 0));
+      one.created = world_.now - from_seconds(in.number("age", 0));
       for (std::uint32_t i = 0; i < one.total; ++i) one.waiting.push_back(i);
-      world_.jobs.push_back(one);
+      jobs_.push_back(one);
     } else if (verb == "runs") {  // runs JOB TASK MACHINE ran=SECONDS
       place(find(in.words.at(1)), static_cast<std::uint32_t>(std::stoul(in.words.at(2))),
             in.words.at(3), in.number("ran", 0));
     } else if (verb == "gone") {  // gone JOB TASK|all: proven
       remove(in.words.at(1), in.words.at(2));
     } else if (verb == "ends") {
-      std::erase_if(world_.jobs, [&](const job_view& one) { return one.id == in.words.at(1); });
+      std::erase_if(jobs_, [&](const job_view& one) { return one.id == in.words.at(1); });
     } else if (verb == "refused") {
       world_.refused.insert({in.words.at(1), in.words.at(2), in.flags.count("spot") != 0});
     } else if (verb == "pass") {
@@ -178,12 +180,12 @@
   }
 
   void pass(double later) {
-    const duration step = from_seconds(later);
-    world_.now += step;
-    for (auto& one : world_.jobs) {
-      one.age += step;
-      for (auto& place : one.placed) place.ran += step;
-    }
+    world_.now += from_seconds(later);
+    world_.jobs.clear();
+    world_.machines.clear();
+    for (const auto& one : jobs_) world_.jobs.push_back(std::make_shared<const job_view>(one));
+    for (const auto& one : machines_)
+      world_.machines.push_back(std::make_shared<const machine_view>(one));
     if (!scheduler_) scheduler_.emplace(rules_);
     const auto made = scheduler_->pass(world_);
     for (const auto& one : made.starts) {
@@ -210,6 +212,8 @@
 
   policy rules_;
   snapshot world_{time_point(seconds(1000)), {}, {}, {}, {}, {}};
+  std::vector<job_view> jobs_;
+  std::vector<machine_view> machines_;
   std::optional<scheduler> scheduler_;
   std::string out_;
   std::int64_t created_ = 0;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -124,7 +124,8 @@
   body["pieces"] = 100000;
   store::job one;
   one.spec = front::read_job(body.dump()).spec;
-  one.units.resize(1 + (100000 + store::job::unit_tasks - 1) / store::job::unit_tasks);
+  one.unit_tasks = 48;
+  one.units.resize(1 + (100000 + one.unit_tasks - 1) / one.unit_tasks);
   for (std::uint32_t task = 0; task < 90000; ++task) {
     if (task % 7 != 0) one.done.insert(task);
   }
