Progress waits for more of its record; user reads apart; machines that hear nothing are found

A worker takes new tasks only once it has shown our token; one whose answers get lost is asked over the direct lane and returned when it stays deaf. A node alone with its workers says it is unhealthy.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -16,7 +16,10 @@
 /// Of the state service's limits, what one controller may take. Two or three share them, and the
 /// leader does most of the writing.
 constexpr double request_share = 0.45;
-constexpr double write_share = 0.5;
+constexpr double leader_write_share = 0.75;
+constexpr double write_share = 0.4;
+/// Of the requests, what all controllers together may spend on users' questions.
+constexpr double user_share = 0.5;
 const char* const types_key = "gd/types";
 }  // namespace
 
@@ -27,7 +30,8 @@
       platform_(std::move(platform)),
       rules_(std::move(rules)),
       store_(runtime, platform_.state, platform_.state_rps * request_share,
-             platform_.state_write_rps * write_share) {
+             platform_.state_write_rps * write_share,
+             platform_.state_rps * user_share / static_cast<double>(platform_.peers.size() + 1)) {
   front::front::hooks users;
   users.leads = [this] { return leads(); };
   users.known = [this](const std::string& id) { return term_ ? term_->known(id) : std::nullopt; };
@@ -50,11 +54,15 @@
   };
   users.healthy = [this] {
     if (store_works()) return true;
-    // When the store refuses everybody, being passed over helps nobody.
+    // When the store refuses everybody, being passed over helps nobody. A node that hears neither
+    // the store nor any peer is most likely the one that is cut off.
+    bool alone = !mesh_->peers().empty();
     for (const auto& [name, peer] : mesh_->peers()) {
-      if (mesh_->heard_lately(peer) && peer.store_works) return false;
+      if (!mesh_->heard_lately(peer)) continue;
+      if (peer.store_works) return false;
+      alone = false;
     }
-    return true;
+    return !alone;
   };
   users.types = [this]() -> const std::vector<admission::machine_type>& { return types_; };
   users.status = [this] { return status(); };
@@ -92,11 +100,15 @@
       front_->remember(id, end);
     };
     events.finished_before = [this](const std::string& id) { return front_->remembers(id); };
+    store_.set_write_rate(platform_.state_write_rps * leader_write_share);
     term_ = std::make_unique<term>(runtime_, store_, platform_, rules_, token, leader, types_,
                                    plans_, numbers_, std::move(events));
     term_->start();
   };
-  office.deposed = [this] { term_.reset(); };
+  office.deposed = [this] {
+    store_.set_write_rate(platform_.state_write_rps * write_share);
+    term_.reset();
+  };
   elector_ = std::make_unique<leadership::elector>(
       runtime_, store_,
       leadership::options{platform_.node, rules_.leader_lease, keeper_grace(platform_)}, seed,
@@ -217,9 +229,11 @@
 
 void controller::report(const net::request& message, const net::reply_fn& reply) {
   if (!term_ || !elector_->keeps_workers()) {
-    if (auto from = workers::read_report(message.body); from && deputy_->stands_in_for(*from)) {
-      deputy_->handle(std::move(*from), reply);
-      return;
+    if (deputy_->needed() && store_works()) {
+      if (auto from = workers::read_report(message.body); from && deputy_->stands_in_for(*from)) {
+        deputy_->handle(std::move(*from), reply);
+        return;
+      }
     }
     ++numbers_.redirected;
     constexpr std::size_t most_knocks = 1000;
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -25,6 +25,7 @@
 /// So many machines of a zone, and at least half of them, silent at once: the zone is cut off.
 constexpr std::size_t least_cut_off = 3;
 constexpr duration cut_patience = seconds(45);
+constexpr duration deaf_patience = seconds(10);
 
 workers::options worker_options(const platform_settings& platform, const operator_settings& rules,
                                 duration grace) {
@@ -561,7 +562,8 @@
         at.reported || listed == fleet_.all().end() ? at.where.zone : listed->second.where.zone;
     auto& [quiet, all] = zones[zone];
     ++all;
-    if (now - std::max(at.last_report, started_) > silence / 2) ++quiet;
+    // Many machines that don't hear us are our own trouble as much as many that are silent.
+    if (at.deaf_since || now - std::max(at.last_report, started_) > silence / 2) ++quiet;
   }
   const auto cut_off = [&](const std::string& zone) {
     const auto& [quiet, all] = zones[zone];
@@ -585,6 +587,11 @@
       fleet_.release(name, "silent");
       continue;
     }
+    if (at.deaf_since && now - *at.deaf_since > silence + deaf_patience &&
+        !cut_off(at.where.zone)) {
+      fleet_.release(name, "answers don't reach it");
+      continue;
+    }
     if (!at.attempts.empty() || at.strangers_run) continue;
     if (at.sick) {
       fleet_.release(name, "sick");
@@ -629,6 +636,7 @@
   tick_timer_ = runtime_.after(tick_period, [this] { tick(); });
   if (!ready_) return;
   look_for_deputies();
+  workers_.probe();
   for (auto& [name, at] : workers_.all()) {
     if (at.notice) drain(at);
   }
--- a/src/fleet/inventory.cpp
+++ b/src/fleet/inventory.cpp
@@ -15,6 +15,8 @@
 /// An unanswered rental is repeated under its name: that rents nothing twice.
 constexpr std::uint32_t most_rental_tries = 8;
 /// The settings allow for this share of the cloud's limit; other controllers ask for types.
+/// Copies of reports may come long after their machine was returned; names never recur.
+constexpr auto departed_memory = std::chrono::hours(1);
 constexpr double budget_share = 0.75;
 }  // namespace
 
@@ -57,9 +59,7 @@
 void inventory::tick() {
   timer_ = runtime_.after(tick_period, [this] { tick(); });
   const time_point now = runtime_.now();
-  std::erase_if(departed_, [&](const auto& item) {
-    return now - item.second > how_.list_lag * 3 + seconds(60);
-  });
+  std::erase_if(departed_, [&](const auto& item) { return now - item.second > departed_memory; });
   send_releases();
   send_rentals();
   if (!listing_ && now >= next_list_ && may_call()) {
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -168,7 +168,8 @@
 /// The state from the store: the head first, then the final record. Records move only that way, so
 /// a job can't be missed between the two.
 void front::read_state(const std::string& id, const net::reply_fn& reply) {
-  store_.get(store::head_key(id), [this, id, reply, alive = alive_](const store::result& head) {
+  store_.get_for_user(store::head_key(id), [this, id, reply,
+                                            alive = alive_](const store::result& head) {
     if (!*alive) return;
     if (head.ok() && !head.entries.empty()) {
       try {
@@ -186,7 +187,7 @@
       return;
     }
     if (head.status != 404) return later(reply, "the state service does not answer");
-    store_.get(store::final_key(id), [this, id, reply, alive](const store::result& last) {
+    store_.get_for_user(store::final_key(id), [this, id, reply, alive](const store::result& last) {
       if (!*alive) return;
       if (last.ok() && !last.entries.empty()) {
         const auto end = store::read_final(last.entries.front().value);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -75,9 +75,10 @@
   if (!parse_address(address, where)) return "not an address: " + address;
   int failed = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&where), 0);
   if (failed == 0) {
-    failed = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), 256, [](uv_stream_t* s, int bad) {
-      if (bad == 0) static_cast<http_server*>(s->data)->accept();
-    });
+    failed =
+        uv_listen(reinterpret_cast<uv_stream_t*>(listener_), 1024, [](uv_stream_t* s, int bad) {
+          if (bad == 0) static_cast<http_server*>(s->data)->accept();
+        });
   }
   return failed == 0 ? std::string() : address + ": " + uv_strerror(failed);
 }
--- a/src/net/uv_runtime.cpp
+++ b/src/net/uv_runtime.cpp
@@ -158,6 +158,7 @@
     send(conn);
     return;
   }
+  if (open_ >= limits_.open_total) close_an_idle_one();
   if (point.open >= limits_.open_per_address || open_ >= limits_.open_total) {
     // The stage behind is full: hold a few calls back, refuse the rest at once.
     if (point.open > 0 && point.queue.size() < limits_.queued_per_address) {
@@ -337,6 +338,17 @@
   after(limits_.idle / 4, [this] { sweep(); });
 }
 
+/// Hundreds of machines are each told something now and then: what is open but unused makes room.
+void uv_runtime::close_an_idle_one() {
+  connection* oldest = nullptr;
+  for (auto& [address, point] : endpoints_) {
+    for (auto* conn : point.idle) {
+      if (oldest == nullptr || conn->idle_since < oldest->idle_since) oldest = conn;
+    }
+  }
+  if (oldest != nullptr) close(oldest);
+}
+
 void uv_runtime::next_queued(const std::string& address) {
   auto& point = endpoints_[address];
   if (point.queue.empty()) return;
--- a/src/net/uv_runtime.hpp
+++ b/src/net/uv_runtime.hpp
@@ -69,6 +69,7 @@
   void give_up(const std::string& address, std::uint64_t call_id);
   void next_queued(const std::string& address);
   void sweep();
+  void close_an_idle_one();
 
   uv_loop_t loop_{};
   uv_timer_t timer_{};
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -59,8 +59,15 @@
   return found != record.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
 }
 
-client::client(net::runtime& runtime, std::string address, double rps, double write_rps)
-    : runtime_(runtime), address_(std::move(address)), requests_(rps), writes_(write_rps) {}
+client::client(net::runtime& runtime, std::string address, double rps, double write_rps,
+               double user_rps)
+    : runtime_(runtime),
+      address_(std::move(address)),
+      requests_(rps),
+      writes_(write_rps),
+      for_users_(user_rps) {}
+
+void client::set_write_rate(double per_second) { writes_.set_rate(runtime_.now(), per_second); }
 
 double client::writes_available() { return writes_.available(runtime_.now()); }
 
@@ -79,7 +86,7 @@
   requests_.take(now);
   writes_.take(now, writes);
   runtime_.call(address_, {method, target, std::move(body)}, deadline,
-                [this, now, done = std::move(done)](const net::response& reply) {
+                [this, now, writes, done = std::move(done)](const net::response& reply) {
                   result out;
                   out.status = reply.status;
                   out.sent = now;
@@ -98,7 +105,11 @@
                   } else {
                     last_answer_ = moment;
                   }
-                  if (out.status == 429) requests_.drain(moment);
+                  if (out.status == 429) {
+                    requests_.drain(moment);
+                    // The store counts writes and requests alike: which limit it was, it won't say.
+                    if (writes > 0) writes_.drain(moment);
+                  }
                   done(out);
                 });
 }
@@ -107,6 +118,20 @@
   send("GET", "/store/" + key, {}, request_deadline, 0, std::move(done));
 }
 
+void client::get_for_user(const std::string& key, result_fn done) {
+  const time_point now = runtime_.now();
+  if (!for_users_.take(now)) {
+    runtime_.after(duration::zero(), [done = std::move(done), now] {
+      result busy;
+      busy.status = 429;
+      busy.sent = now;
+      done(busy);
+    });
+    return;
+  }
+  get(key, std::move(done));
+}
+
 void client::list(const std::string& prefix, const std::string& after, result_fn done) {
   std::string target = "/store?under=" + prefix + "&most=200";
   if (!after.empty()) target += "&from=" + after;
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -50,9 +50,12 @@
 /// The state service's interface, within a request budget. Wire names end here.
 class client {
  public:
-  client(net::runtime& runtime, std::string address, double rps, double write_rps);
+  client(net::runtime& runtime, std::string address, double rps, double write_rps, double user_rps);
 
   void get(const std::string& key, result_fn done);
+  /// For users' questions: within a budget of its own, so that however many ask, elections and
+  /// lease renewals still get through.
+  void get_for_user(const std::string& key, result_fn done);
   void list(const std::string& prefix, const std::string& after, result_fn done);
   void txn(const std::vector<condition>& conditions, const std::vector<operation>& operations,
            result_fn done);
@@ -62,6 +65,8 @@
   void watch(const std::string& prefix, std::uint64_t from, duration wait, result_fn done);
 
   double writes_available();
+  /// The leader does most of the writing.
+  void set_write_rate(double per_second);
   /// Last time anything but silence or 503 came back.
   time_point last_answer() const { return last_answer_; }
   time_point last_failure() const { return last_failure_; }
@@ -74,6 +79,7 @@
   std::string address_;
   rate_budget requests_;
   rate_budget writes_;
+  rate_budget for_users_;
   time_point last_answer_{};
   time_point last_failure_{};
 };
--- a/src/store/job.hpp
+++ b/src/store/job.hpp
@@ -55,8 +55,9 @@
   std::uint64_t session = 0;
   // Only in the leader's memory:
   attempt_phase phase = attempt_phase::placed;
-  std::uint64_t mutation = 0;  // stored once its unit has reached this
-  bool seen = false;           // listed by its worker at least once
+  std::uint64_t mutation = 0;    // stored once its unit has reached this
+  bool seen = false;             // listed by its worker at least once
+  std::uint64_t sent_after = 0;  // the report whose answer carried its start
   bool stopping = false;
   duration grace{};
   time_point running_since{};
--- a/src/store/job_book.cpp
+++ b/src/store/job_book.cpp
@@ -7,6 +7,9 @@
 namespace {
 constexpr auto group_delay = milliseconds(4);
 constexpr auto retry_delay = milliseconds(150);
+/// How long progress waits for more of the same record, and how long at most for urgent changes.
+constexpr duration progress_delay = milliseconds(400);
+constexpr duration longest_progress = seconds(3);
 constexpr std::size_t txn_bytes = std::size_t{40} << 10;
 }  // namespace
 
@@ -41,22 +44,45 @@
   return jobs_.insert_or_assign(id, std::move(one)).first->second;
 }
 
-void job_book::queue(const std::string& id, std::size_t unit) {
-  if (queued_.emplace(id, unit).second) dirty_.emplace_back(id, unit);
-  schedule(group_delay);
+void job_book::queue(const std::string& id, std::size_t unit, bool urgent) {
+  const unit_name name{id, unit};
+  if (urgent) {
+    if (in_urgent_.insert(name).second) urgent_.push_back(name);
+    schedule(group_delay);
+  } else if (in_urgent_.count(name) == 0 && in_progress_.insert(name).second) {
+    progress_.push_back({name, runtime_.now()});
+    schedule(progress_delay);
+  }
 }
 
-void job_book::mark(job& one, std::uint32_t task) {
+/// Progress that has waited long enough joins the urgent changes, as far as the budget allows: an
+/// array's tasks end one by one, and a write for each would use up the store's limit.
+void job_book::promote() {
+  const time_point now = runtime_.now();
+  while (!progress_.empty()) {
+    const auto& first = progress_.front();
+    const bool known = in_progress_.count(first.unit) != 0;
+    if (known && now - first.since < progress_delay) break;
+    if (known && !urgent_.empty() && now - first.since < longest_progress) break;
+    if (known) {
+      in_progress_.erase(first.unit);
+      if (in_urgent_.insert(first.unit).second) urgent_.push_back(first.unit);
+    }
+    progress_.pop_front();
+  }
+}
+
+void job_book::mark(job& one, std::uint32_t task, bool urgent) {
   const std::size_t unit = one.unit_of(task);
   one.view.reset();
   ++one.units[unit].mutation;
-  queue(one.spec.id, unit);
+  queue(one.spec.id, unit, urgent);
 }
 
 void job_book::mark_head(job& one) {
   one.view.reset();
   ++one.units[0].mutation;
-  queue(one.spec.id, 0);
+  queue(one.spec.id, 0, true);
 }
 
 void job_book::retire(job& one) {
@@ -65,7 +91,7 @@
   for (std::size_t unit = 1; unit < one.units.size(); ++unit) {
     if (one.units[unit].version != 0) {
       ++one.units[unit].mutation;
-      queue(one.spec.id, unit);
+      queue(one.spec.id, unit, true);
     }
   }
   mark_head(one);
@@ -80,7 +106,11 @@
 }
 
 void job_book::schedule(duration delay) {
-  if (busy_ || timer_ != 0) return;
+  if (busy_) return;
+  const time_point when = runtime_.now() + delay;
+  if (timer_ != 0 && timer_at_ <= when) return;
+  runtime_.cancel(timer_);
+  timer_at_ = when;
   timer_ = runtime_.after(delay, [this] {
     timer_ = 0;
     flush();
@@ -88,7 +118,12 @@
 }
 
 void job_book::flush() {
-  if (busy_ || dirty_.empty()) return;
+  if (busy_) return;
+  promote();
+  if (urgent_.empty()) {
+    if (!progress_.empty()) schedule(progress_delay / 4);
+    return;
+  }
   // Without a valid lease nothing is written: another leader may be at work.
   if (!events_.may_write()) {
     schedule(retry_delay);
@@ -99,13 +134,14 @@
   std::vector<operation> operations;
   std::vector<piece> pieces;
   std::size_t bytes = 0;
-  std::deque<std::pair<std::string, std::size_t>> later;
-  while (!dirty_.empty() && bytes < txn_bytes) {
-    const auto [id, unit] = dirty_.front();
+  std::deque<unit_name> later;
+  while (!urgent_.empty() && bytes < txn_bytes) {
+    const auto [id, unit] = urgent_.front();
     job* one = find(id);
     if (one == nullptr || !one->units[unit].dirty()) {
-      dirty_.pop_front();
-      queued_.erase({id, unit});
+      urgent_.pop_front();
+      in_urgent_.erase({id, unit});
+      in_progress_.erase({id, unit});
       continue;
     }
     const bool last = unit == 0 && one->leaving;
@@ -116,22 +152,23 @@
       for (std::size_t i = 1; i < one->units.size(); ++i)
         parts = parts || one->units[i].version != 0;
       if (parts && one->status_stored) {
-        dirty_.pop_front();
+        urgent_.pop_front();
         later.emplace_back(id, unit);
         continue;
       }
     }
     const bool part_goes = unit != 0 && one->leaving;
     if (part_goes && !one->status_stored) {
-      dirty_.pop_front();
+      urgent_.pop_front();
       later.emplace_back(id, unit);
       continue;
     }
     const bool final_record = last && !(one->large() && !one->status_stored);
     const double cost = final_record ? 2 : 1;
     if (static_cast<double>(operations.size()) + cost > budget) break;
-    dirty_.pop_front();
-    queued_.erase({id, unit});
+    urgent_.pop_front();
+    in_urgent_.erase({id, unit});
+    in_progress_.erase({id, unit});
     auto& state = one->units[unit];
     const std::string key = unit == 0 ? head_key(id) : part_key(id, unit);
     conditions.push_back({key, state.version});
@@ -148,9 +185,9 @@
     }
     pieces.push_back({id, unit, state.mutation, final_record, final_record || part_goes});
   }
-  for (auto& item : later) dirty_.push_back(std::move(item));
+  for (auto& item : later) urgent_.push_back(std::move(item));
   if (operations.empty()) {
-    if (!dirty_.empty()) schedule(retry_delay);
+    if (backlog() > 0) schedule(retry_delay);
     return;
   }
   busy_ = true;
@@ -163,10 +200,7 @@
                  if (*alive) schedule(group_delay);
                  return;
                }
-               for (const auto& one : pieces) {
-                 if (queued_.emplace(one.id, one.unit).second)
-                   dirty_.emplace_front(one.id, one.unit);
-               }
+               take_back(pieces);
                if (answer.status == 409) {
                  for (const auto& key : answer.failed) {
                    if (key != leader_.key) continue;
@@ -181,6 +215,13 @@
              });
 }
 
+/// What could not be written goes first the next time.
+void job_book::take_back(const std::vector<piece>& pieces) {
+  for (const auto& one : pieces) {
+    if (in_urgent_.emplace(one.id, one.unit).second) urgent_.emplace_front(one.id, one.unit);
+  }
+}
+
 void job_book::applied(const std::vector<piece>& pieces, std::uint64_t revision) {
   std::set<std::string> touched;
   std::vector<std::pair<std::string, final_state>> finished;
@@ -195,7 +236,7 @@
     // A large job's head was stored with the final status; its removal comes after its parts'.
     if (one.unit == 0 && found->leaving && !one.final_record) {
       ++unit.mutation;
-      queue(one.id, 0);
+      queue(one.id, 0, true);
     }
     if (one.final_record) {
       finished.emplace_back(one.id, final_state{found->status, found->done.count()});
--- a/src/store/job_book.hpp
+++ b/src/store/job_book.hpp
@@ -35,14 +35,16 @@
   std::unordered_map<std::string, job>& all() { return jobs_; }
   const std::unordered_map<std::string, job>& all() const { return jobs_; }
 
-  void mark(job& one, std::uint32_t task);
+  /// `urgent`: a worker or a user waits for it. Progress can wait a little, and then goes with
+  /// whatever else has changed in the record by that time.
+  void mark(job& one, std::uint32_t task, bool urgent = true);
   void mark_head(job& one);
   /// A finished job without attempts moves to its final key and leaves the book.
   void retire(job& one);
   /// Calls back once everything marked on the head so far is stored, or with false when it won't
   /// be.
   void when_head_stored(job& one, std::function<void(bool)> done);
-  std::size_t backlog() const { return dirty_.size(); }
+  std::size_t backlog() const { return urgent_.size() + progress_.size(); }
 
  private:
   struct piece {
@@ -52,7 +54,14 @@
     bool final_record;
     bool erased;
   };
-  void queue(const std::string& id, std::size_t unit);
+  using unit_name = std::pair<std::string, std::size_t>;
+  struct waiting_unit {
+    unit_name unit;
+    time_point since;
+  };
+  void queue(const std::string& id, std::size_t unit, bool urgent);
+  void promote();
+  void take_back(const std::vector<piece>& pieces);
   void schedule(duration delay);
   void flush();
   void applied(const std::vector<piece>& pieces, std::uint64_t revision);
@@ -65,12 +74,15 @@
   std::uint32_t txn_ops_;
   hooks events_;
   std::unordered_map<std::string, job> jobs_;
-  std::deque<std::pair<std::string, std::size_t>> dirty_;
-  std::set<std::pair<std::string, std::size_t>> queued_;
+  std::deque<unit_name> urgent_;
+  std::deque<waiting_unit> progress_;
+  std::set<unit_name> in_urgent_;
+  std::set<unit_name> in_progress_;
   std::unordered_map<std::string, std::vector<std::pair<std::uint64_t, std::function<void(bool)>>>>
       waiters_;
   bool busy_ = false;
   net::timer_id timer_ = 0;
+  time_point timer_at_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/store/rate_budget.hpp
+++ b/src/store/rate_budget.hpp
@@ -20,6 +20,11 @@
     refill(now);
     return tokens_;
   }
+  void set_rate(time_point now, double per_second) {
+    refill(now);
+    rate_ = per_second;
+    tokens_ = std::min(tokens_, std::max(rate_, 1.0));
+  }
   /// A 429 says that others share the limit: start from nothing.
   void drain(time_point now) {
     refill(now);
--- a/src/workers/deputy.cpp
+++ b/src/workers/deputy.cpp
@@ -34,10 +34,14 @@
 
 void deputy::start() { tick(); }
 
-bool deputy::stands_in_for(const report& said) const {
+bool deputy::needed() const {
   const auto [leader, heard] = events_.leader();
   if (leader.empty() || leader == node_ || heard) return false;
-  return said.where.zone == zone_ && events_.zone_of(leader) != zone_;
+  return events_.zone_of(leader) != zone_;
+}
+
+bool deputy::stands_in_for(const report& said) const {
+  return needed() && said.where.zone == zone_;
 }
 
 bool deputy::in_force() const { return entered_ && runtime_.now() - confirmed_ < token_age; }
--- a/src/workers/deputy.hpp
+++ b/src/workers/deputy.hpp
@@ -35,6 +35,8 @@
   deputy& operator=(const deputy&) = delete;
 
   void start();
+  /// Is there a leader in another zone that this controller doesn't hear?
+  bool needed() const;
   /// Is this a worker of our zone, cut off from the leader with us?
   bool stands_in_for(const report& said) const;
   /// Answers with 200 once everything is confirmed, or with 503 when it can't be.
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -14,6 +14,8 @@
 /// Clocks drift apart by 0.05% at most.
 constexpr double drift = 0.001;
 constexpr auto lease_margin = milliseconds(500);
+constexpr auto probe_pause = seconds(2);
+constexpr std::size_t most_probes = 20;
 constexpr std::uint32_t broken_machines = 3;
 constexpr std::uint32_t most_backoff_doublings = 5;
 }  // namespace
@@ -27,7 +29,7 @@
       events_(std::move(events)),
       term_start_(runtime.now()) {}
 
-registry::~registry() = default;
+registry::~registry() { *alive_ = false; }
 
 worker* registry::find(const std::string& machine) {
   const auto found = workers_.find(machine);
@@ -46,8 +48,42 @@
   return !one.reported || runtime_.now() - one.last_report > how_.report * 3;
 }
 
+/// A worker that has not shown our token has not received a word of ours: its report may be a late
+/// copy from an earlier term, or its machine may hear nothing.
 bool registry::takes_tasks(const worker& one) const {
-  return !silent(one) && !one.notice && !one.sick && !one.strangers_run;
+  return !silent(one) && !one.notice && !one.sick && !one.strangers_run && !one.deaf_since &&
+         one.token == token_;
+}
+
+/// Reports arrive, but there is a sign that answers don't: nothing is placed there until the
+/// machine has answered a question. Arriving reports alone prove nothing about the way back.
+void registry::suspect(worker& one, const char* sign) {
+  if (one.deaf_since) return;
+  spdlog::info("answers may not reach machine={} sign=\"{}\"", one.name, sign);
+  one.deaf_since = runtime_.now();
+  events_.changed();
+}
+
+void registry::probe() {
+  std::size_t asked = 0;
+  const time_point now = runtime_.now();
+  for (auto& [name, one] : workers_) {
+    if (!one.deaf_since || !one.reported || now < one.next_probe || asked >= most_probes) continue;
+    ++asked;
+    one.next_probe = now + probe_pause;
+    runtime_.call(
+        one.address, {"GET", "/show", ""}, direct_deadline,
+        [this, key = name, session = one.session, alive = alive_](const net::response& reply) {
+          if (!*alive || reply.status != 200) return;
+          // Only that it answers counts: its list may be older than a report that has
+          // arrived since.
+          worker* at = find(key);
+          if (at == nullptr || !at->deaf_since || at->session != session) return;
+          spdlog::info("machine hears us again machine={}", key);
+          at->deaf_since.reset();
+          events_.changed();
+        });
+  }
 }
 
 std::string registry::handle(const report& said) {
@@ -78,6 +114,8 @@
   from.token = said.token;
   from.notice = said.notice;
   if (said.session > from.session) {
+    // Its lease ran out although it reports here. Of a machine known for long this is a sign.
+    if (from.session != 0) suspect(from, "its lease ran out");
     from.session = said.session;
     const auto held = from.attempts;
     for (const auto& [id, task] : held) {
@@ -176,13 +214,21 @@
       if (ours) lose(*one, task, "never started");
       continue;
     }
-    const bool may_start =
-        events_.valid() && one->attempt_stored(task, entry) && !from.notice && !from.sick;
+    // It was sent in the answer to an earlier report, and this newer one does not list it: the
+    // worker never took that answer, and drops it should it still come.
+    if (entry.sent_after != 0 && entry.sent_after < said.seq && ours) {
+      suspect(from, "a start was not taken");
+      lose(*one, task, "its start was not taken");
+      continue;
+    }
+    const bool may_start = events_.valid() && one->attempt_stored(task, entry) && !from.notice &&
+                           !from.sick && !from.deaf_since;
     if (may_start) {
       entry.phase = attempt_phase::sent;
+      entry.sent_after = said.seq;
       note_image(from, *one);
       out.push_back({verb::start, id, task, entry.number, {}});
-    } else if ((from.notice || from.sick) && ours) {
+    } else if ((from.notice || from.sick || from.deaf_since) && ours) {
       lose(*one, task, "not started on a machine that goes");
     }
   }
@@ -219,7 +265,7 @@
   if (cause == exit_cause::unknown) one.not_before = runtime_.now() + seconds(2);
   drop_attempt(from, one, task);
   one.attempts.erase(task);
-  book_.mark(one, task);
+  book_.mark(one, task, false);
   after_loss(one, false);
 }
 
@@ -242,7 +288,7 @@
   }
   one.errors.clear();
   one.error_rounds = 0;
-  book_.mark(one, task);
+  book_.mark(one, task, false);
   if (one.status == job_status::active && one.done.count() == one.spec.tasks) {
     one.status = job_status::done;
     book_.mark_head(one);
@@ -259,7 +305,7 @@
                it->second.number, it->second.machine, proof, token_);
   drop_attempt(workers_[it->second.machine], one, task);
   one.attempts.erase(it);
-  book_.mark(one, task);
+  book_.mark(one, task, false);
   after_loss(one, true);
 }
 
--- a/src/workers/registry.hpp
+++ b/src/workers/registry.hpp
@@ -36,6 +36,8 @@
   std::deque<std::pair<std::string, double>> images;  // most recently used first
   std::set<std::string> failed_jobs;                  // ended with an error here, none done since
   bool sick = false;
+  std::optional<time_point> deaf_since;  // answers may not reach it
+  time_point next_probe{};
   time_point idle_since{};
   /// What a scheduling pass sees of it; empty once anything it shows has changed.
   std::shared_ptr<const admission::machine_view> view;
@@ -73,6 +75,9 @@
   /// at `confirmed`, that no deputy has acted since `quiet_from`.
   void check_leases(time_point quiet_from, time_point confirmed);
 
+  /// Asks machines that may not hear us; one that answers is used again.
+  void probe();
+
   worker* find(const std::string& machine);
   std::map<std::string, worker>& all() { return workers_; }
   const std::map<std::string, worker>& all() const { return workers_; }
@@ -90,6 +95,7 @@
   void after_loss(store::job& one, bool machine_lost);
   void note_error(worker& at, store::job& one);
   void note_image(worker& at, const store::job& one);
+  void suspect(worker& one, const char* sign);
   void send_stops(const std::map<std::string, std::vector<command>>& by_machine);
 
   net::runtime& runtime_;
@@ -100,6 +106,7 @@
   time_point term_start_;
   bool ready_ = false;
   std::map<std::string, worker> workers_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace gingerdrift::workers
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -20,7 +20,7 @@
   proofs()
       : state(net, "state:1"),
         runtime(net, "node-0"),
-        client(runtime, "state:1", 100, 50),
+        client(runtime, "state:1", 100, 50, 50),
         book(runtime, client, {"gd/leader", 0}, 24,
              {[](const std::string&) {}, [](const std::string&, const store::final_state&) {},
               [] {}, [this] { return valid; }}),
@@ -135,11 +135,15 @@
 }
 
 TEST_F(proofs, nothing_is_started_before_it_is_stored) {
-  registry.handle(report(3, 5, our_token));
+  auto with = report(3, 5, our_token);
+  with.tasks = {task(attempt_phase::running)};
+  registry.handle(with);
   registry.place(*book.find("run-1"), 1, "m", 2);
-  EXPECT_EQ(registry.handle(report(3, 6, our_token)).find("run-1/1"), std::string::npos);
+  with.seq = 6;
+  EXPECT_EQ(registry.handle(with).find("run-1/1"), std::string::npos);
   net.run_for(seconds(1));
-  EXPECT_NE(registry.handle(report(3, 7, our_token)).find("run-1/1"), std::string::npos);
+  with.seq = 7;
+  EXPECT_NE(registry.handle(with).find("run-1/1"), std::string::npos);
 }
 
 }  // namespace gingerdrift::testing
--- a/tests/support/sim_net.cpp
+++ b/tests/support/sim_net.cpp
@@ -69,6 +69,12 @@
   after(deadline, [finish] { finish({}); });
   const auto found = servers_.find(address);
   const std::string host = found == servers_.end() ? address : found->second.host;
+  if (message.target == copied_path_ && uniform(0, 1) < copied_share_) {
+    after(from_seconds(uniform(1, to_seconds(copied_most_))), [this, address, message] {
+      const auto target = servers_.find(address);
+      if (target != servers_.end()) target->second.handler(message, [](const net::response&) {});
+    });
+  }
   const auto there = arrival(from, host);
   if (!there) return;
   at(*there, [this, from, host, address, message = std::move(message), finish] {
--- a/tests/support/sim_net.hpp
+++ b/tests/support/sim_net.hpp
@@ -32,6 +32,16 @@
   void call(const std::string& from, const std::string& address, net::request message,
             duration deadline, net::reply_fn done);
   void cut(const std::string& a, const std::string& b, duration span, cut_mode mode);
+  /// Packets from `a` don't reach `b`; the other way they do.
+  void cut_one_way(const std::string& a, const std::string& b, duration span) {
+    cuts_[{a, b}] = {now_ + span, cut_mode::drop};
+  }
+  /// This share of what is sent to a path arrives once more, up to `most` later, from nobody.
+  void copy_late(const std::string& path, double share, duration most) {
+    copied_path_ = path;
+    copied_share_ = share;
+    copied_most_ = most;
+  }
   bool is_cut(const std::string& a, const std::string& b) const;
 
   std::mt19937_64 random;
@@ -58,6 +68,9 @@
   std::map<net::timer_id, time_point> times_;
   std::map<std::string, server> servers_;
   std::map<std::pair<std::string, std::string>, cut_link> cuts_;
+  std::string copied_path_;
+  double copied_share_ = 0;
+  duration copied_most_{};
 };
 
 /// A process on a host: its timers and replies end with it.
--- a/tests/support/stand_ins.cpp
+++ b/tests/support/stand_ins.cpp
@@ -222,6 +222,10 @@
   site_.net.serve(name, name + ":9",
                   [this](const net::request& message, const net::reply_fn& reply) {
                     if (now() < hung_until_) return;
+                    if (message.target == "/show") {
+                      reply({200, state().dump(), std::nullopt, false});
+                      return;
+                    }
                     const json body = json::parse(message.body);
                     if (body.at("baton").get<std::uint64_t>() < token_ ||
                         body.at("shift").get<std::uint64_t>() != session_) {
