--- a/src/admission/demand.cpp
+++ b/src/admission/demand.cpp
@@ -50,11 +50,12 @@
 
 /// A gang that needs many machines of one zone at once never finds them on a busy fleet: smaller
 /// jobs take each as it falls free. From `gather_delay` on, machines that are free for it are kept
-/// for it, in one zone, until there are enough; the heap's order says who gathers first, and only
-/// a share of the fleet is ever kept so.
+/// for it, in one zone, until there are enough. The first gang of each priority in the heap's order
+/// may always gather; further ones only while little of the pool is kept, for kept machines idle.
 void pass_state::gather() {
   std::map<pool, std::size_t> kept;  // by group, for all gathering gangs
   for (const auto& [name, held] : owner_.reserved_) ++kept[room_.at(room_.find(name)).view->where];
+  std::set<priority> first;
   for (const auto index : waiting_order()) {
     auto& job = jobs_[index];
     const auto& view = *job.view;
@@ -68,11 +69,12 @@
       if (found.size() > best.size()) best = std::move(found);
       if (best.size() == job.left.size()) break;
     }
+    const bool always = first.insert(view.level).second;
     for (const auto machine : best) {
       const auto& group = room_.of(room_.at(machine).group);
       const bool ours = room_.at(machine).kept_for != nullptr;
       const auto most = owner_.rules_.gather_share * static_cast<double>(group.members.size());
-      if (!ours && static_cast<double>(++kept[group.where]) > most) break;
+      if (!ours && static_cast<double>(++kept[group.where]) > most && !always) break;
       keep(machine, job);
     }
   }
--- a/src/admission/preemption.cpp
+++ b/src/admission/preemption.cpp
@@ -12,16 +12,20 @@
   constexpr double new_start = 5;
   constexpr double just_begun = 30;
   const double size = job.need.gpus > 0 ? job.need.gpus : job.need.cpus;
-  if (!place.running) return just_begun * size;
+  // One task of an array finds a place again by itself, mostly with its image; a gang has to find
+  // all of its machines at once, and fetch on each.
+  const double again = job.gang ? new_start + just_begun / 2 : new_start;
+  if (!place.running) return (job.gang ? again + just_begun : again) * size;
   const double ran = to_seconds(world_.now - place.running_since);
   const double left = to_seconds(job.estimate) - ran;
   double seconds_lost = ran;
   // A stop with enough grace keeps the progress but costs the saving and a new start.
   if (job.checkpoint > duration::zero()) seconds_lost = to_seconds(job.save) + ran * 0.02;
-  if (ran < just_begun) seconds_lost = std::max(seconds_lost, just_begun - ran);
+  if (!job.gang) return (again + seconds_lost) * size;
+  if (ran < just_begun) seconds_lost += just_begun - ran;
   // What is about to end gives its room back by itself.
   if (left > 0 && left < just_begun) seconds_lost += just_begun - left;
-  return (new_start + seconds_lost) * size;
+  return (again + seconds_lost) * size;
 }
 
 /// What runs where, written down once per pass and only when somebody looks for victims.
--- a/src/admission/types.hpp
+++ b/src/admission/types.hpp
@@ -151,7 +151,7 @@
   duration upgrade_min_left = seconds(120);
   duration preempt_hold = seconds(20);
   duration gather_delay = seconds(60);  // a gang that waits longer has its room kept for it
-  double gather_share = 0.1;            // of the machines of its pool, at most, for all such gangs
+  double gather_share = 0.03;           // of the machines of its pool, at most, for all such gangs
   std::uint32_t preemptions = 12;       // searches for victims in one pass, at most
 };
 
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -15,6 +15,8 @@
 constexpr auto watch_time = seconds(10);
 constexpr auto watch_pause = seconds(1);
 constexpr auto tick_period = seconds(1);
+/// Of a value's limit, what the start log fills.
+constexpr double value_share = 0.9;
 constexpr std::size_t most_waiting_in_view = 256;
 constexpr int pass_spacing = 3;
 constexpr duration longest_pause = seconds(1);
@@ -63,6 +65,7 @@
       numbers_(numbers),
       events_(std::move(events)),
       book_(runtime, store, leader, platform.txn_ops,
+            static_cast<std::size_t>(platform.value_kb * 1024 * value_share),
             {[this](const std::string&) {
                answer_kept();
                changed();
@@ -123,13 +126,21 @@
       load(prefix, page.entries.back().key);
     } else if (prefix == store::head_prefix) {
       load(store::part_prefix, "");
+    } else if (prefix == store::part_prefix) {
+      load(store::log_prefix, "");
     } else {
+      book_.read_log(log_entries_);
+      log_entries_.clear();
       loaded();
     }
   });
 }
 
 void term::take_in(const store::entry& found) {
+  if (found.key.rfind(store::log_prefix, 0) == 0) {
+    log_entries_.push_back(found);
+    return;
+  }
   try {
     const std::string prefix = store::head_prefix;
     if (found.key.rfind(prefix, 0) == 0) {
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -85,6 +85,7 @@
   workers::registry workers_;
   fleet::inventory fleet_;
   std::map<std::string, std::size_t> team_index_;
+  std::vector<store::entry> log_entries_;  // until all records are read
   bool ready_ = false;
   bool loading_ = true;
   std::uint64_t watch_from_ = 0;
--- a/src/store/job.cpp
+++ b/src/store/job.cpp
@@ -95,6 +95,7 @@
   const std::uint32_t first = unit == 0 ? 0 : static_cast<std::uint32_t>(unit - 1) * one.unit_tasks;
   const std::uint32_t last = std::min(first + one.unit_tasks, one.spec.tasks) - 1;
   out["next_try"] = one.units[unit].next_try;
+  out["change"] = one.units[unit].mutation;
   json done = json::array();
   auto range = one.done.ranges().upper_bound(first);
   if (range != one.done.ranges().begin()) --range;
@@ -114,6 +115,8 @@
 void read_tasks(job& one, std::size_t unit, const json& in) {
   auto& state = one.units[unit];
   state.next_try = in.at("next_try").get<std::uint64_t>();
+  state.mutation = in.at("change").get<std::uint64_t>();
+  state.stored = state.mutation;
   if (in.contains("done")) {
     for (const auto& range : in["done"]) {
       const auto first = range.at(0).get<std::uint32_t>();
@@ -142,7 +145,11 @@
               {"created", one.created_ms},
               {"unit", one.unit_tasks},
               {"status", status_name(one.status)}};
-  if (!one.large()) write_tasks(one, 0, out);
+  if (one.large()) {
+    out["change"] = one.units[0].mutation;
+  } else {
+    write_tasks(one, 0, out);
+  }
   return out;
 }
 
@@ -182,7 +189,12 @@
   out.units.resize(1 + parts);
   for (auto& unit : out.units) unit.stored = unit.mutation;
   out.units[0].version = version;
-  if (!out.large()) read_tasks(out, 0, record);
+  if (out.large()) {
+    out.units[0].mutation = record.at("change").get<std::uint64_t>();
+    out.units[0].stored = out.units[0].mutation;
+  } else {
+    read_tasks(out, 0, record);
+  }
   const std::string status = record.at("status").get<std::string>();
   if (status == "done") out.status = job_status::done;
   if (status == "cancelled") out.status = job_status::cancelled;
--- a/src/store/job.hpp
+++ b/src/store/job.hpp
@@ -56,6 +56,7 @@
   // Only in the leader's memory:
   attempt_phase phase = attempt_phase::placed;
   std::uint64_t mutation = 0;    // stored once its unit has reached this
+  bool logged = false;           // the start log has it
   bool seen = false;             // listed by its worker at least once
   std::uint64_t sent_after = 0;  // the report whose answer carried its start
   bool stopping = false;
@@ -66,7 +67,7 @@
 /// A piece of a job that is written as one key: the head, or a part holding a range of tasks.
 struct record_unit {
   std::uint64_t version = 0;   // the key's, as far as known
-  std::uint64_t mutation = 1;  // counts changes in memory
+  std::uint64_t mutation = 1;  // counts changes; stored too, so that the count goes on
   std::uint64_t stored = 0;    // the newest change that is stored
   std::uint64_t next_try = 1;
   bool dirty() const { return stored < mutation; }
@@ -98,7 +99,7 @@
   bool large() const { return spec.tasks > unit_tasks; }
   std::size_t unit_of(std::uint32_t task) const { return large() ? 1 + task / unit_tasks : 0; }
   bool attempt_stored(std::uint32_t task, const attempt& one) const {
-    return units[unit_of(task)].stored >= one.mutation;
+    return one.logged || units[unit_of(task)].stored >= one.mutation;
   }
 };
 
--- a/src/store/job_book.cpp
+++ b/src/store/job_book.cpp
@@ -14,12 +14,13 @@
 }  // namespace
 
 job_book::job_book(net::runtime& runtime, client& store, condition leader, std::uint32_t txn_ops,
-                   hooks events)
+                   std::size_t value_bytes, hooks events)
     : runtime_(runtime),
       store_(store),
       leader_(std::move(leader)),
       txn_ops_(txn_ops),
-      events_(std::move(events)) {}
+      events_(std::move(events)),
+      log_(value_bytes) {}
 
 job_book::~job_book() {
   *alive_ = false;
@@ -79,6 +80,50 @@
   queue(one.spec.id, unit, urgent);
 }
 
+void job_book::mark_start(job& one, std::uint32_t task) {
+  const std::size_t unit = one.unit_of(task);
+  mark(one, task, false);
+  auto& placed = one.attempts.at(task);
+  placed.mutation = one.units[unit].mutation;
+  log_.add(
+      {one.spec.id, task, placed.number, placed.machine, placed.session, unit, placed.mutation});
+  schedule(group_delay);
+}
+
+/// Starts that were logged, and whose jobs' records had not caught up when their leader ended. In
+/// the order they were made: a later attempt of a task means that the earlier was proven gone.
+void job_book::read_log(const std::vector<entry>& found) {
+  std::vector<start_entry> starts;
+  for (const auto& key : found) {
+    try {
+      for (auto& one : log_.read(key)) starts.push_back(std::move(one));
+    } catch (const std::exception& error) {
+      spdlog::error("log is malformed key={}: {}", key.key, error.what());
+    }
+  }
+  std::stable_sort(starts.begin(), starts.end(),
+                   [](const start_entry& a, const start_entry& b) { return a.change < b.change; });
+  for (const auto& start : starts) {
+    job* one = find(start.job);
+    if (one == nullptr || start.task >= one->spec.tasks || one->unit_of(start.task) != start.unit)
+      continue;
+    auto& unit = one->units[start.unit];
+    if (unit.stored >= start.change) continue;
+    attempt entry;
+    entry.number = start.number;
+    entry.machine = start.machine;
+    entry.session = start.session;
+    entry.phase = attempt_phase::sent;
+    entry.mutation = start.change;
+    entry.logged = true;
+    one->attempts[start.task] = entry;
+    one->gang_try = std::max(one->gang_try, start.number);
+    unit.next_try = std::max(unit.next_try, start.number + 1);
+    unit.mutation = std::max(unit.mutation, start.change);
+    queue(start.job, start.unit, false);
+  }
+}
+
 void job_book::mark_head(job& one) {
   one.view.reset();
   ++one.units[0].mutation;
@@ -120,7 +165,7 @@
 void job_book::flush() {
   if (busy_) return;
   promote();
-  if (urgent_.empty()) {
+  if (urgent_.empty() && !log_.waiting()) {
     if (!progress_.empty()) schedule(progress_delay / 4);
     return;
   }
@@ -134,6 +179,14 @@
   std::vector<operation> operations;
   std::vector<piece> pieces;
   std::size_t bytes = 0;
+  if (budget >= 1) {
+    log_.prepare(
+        [this](const start_entry& start) {
+          const job* one = find(start.job);
+          return one == nullptr || one->units[start.unit].stored >= start.change;
+        },
+        conditions, operations);
+  }
   std::deque<unit_name> later;
   while (!urgent_.empty() && bytes < txn_bytes) {
     const auto [id, unit] = urgent_.front();
@@ -187,7 +240,7 @@
   }
   for (auto& item : later) urgent_.push_back(std::move(item));
   if (operations.empty()) {
-    if (backlog() > 0) schedule(retry_delay);
+    if (backlog() > 0 || log_.waiting()) schedule(retry_delay);
     return;
   }
   busy_ = true;
@@ -201,6 +254,7 @@
                  return;
                }
                take_back(pieces);
+               log_.failed();
                if (answer.status == 409) {
                  for (const auto& key : answer.failed) {
                    if (key != leader_.key) continue;
@@ -226,6 +280,14 @@
   std::set<std::string> touched;
   std::vector<std::pair<std::string, final_state>> finished;
   const auto alive = alive_;
+  for (const auto& start : log_.written(revision)) {
+    job* one = find(start.job);
+    if (one == nullptr) continue;
+    const auto placed = one->attempts.find(start.task);
+    if (placed == one->attempts.end() || placed->second.mutation != start.change) continue;
+    placed->second.logged = true;
+    touched.insert(start.job);
+  }
   for (const auto& one : pieces) {
     job* found = find(one.id);
     if (found == nullptr) continue;
@@ -247,7 +309,9 @@
   for (const auto& id : touched) {
     const auto found = waiters_.find(id);
     if (found == waiters_.end()) continue;
-    const auto stored = jobs_.at(id).units[0].stored;
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end()) continue;
+    const auto stored = known->second.units[0].stored;
     auto& list = found->second;
     for (auto it = list.begin(); it != list.end();) {
       if (it->first <= stored) {
@@ -305,6 +369,10 @@
 }
 
 void job_book::learn(const std::string& key, std::uint64_t version) {
+  if (key.rfind(log_prefix, 0) == 0) {
+    log_.learn(key, version);
+    return;
+  }
   const auto strip = [&](const std::string& prefix) { return key.substr(prefix.size()); };
   if (key.rfind(head_prefix, 0) == 0) {
     job* one = find(strip(head_prefix));
--- a/src/store/job_book.hpp
+++ b/src/store/job_book.hpp
@@ -8,6 +8,7 @@
 
 #include "store/client.hpp"
 #include "store/job.hpp"
+#include "store/start_log.hpp"
 
 namespace gingerdrift::store {
 
@@ -24,7 +25,7 @@
     std::function<bool()> may_write;  // the leader's lease is valid
   };
   job_book(net::runtime& runtime, client& store, condition leader, std::uint32_t txn_ops,
-           hooks events);
+           std::size_t value_bytes, hooks events);
   ~job_book();
   job_book(const job_book&) = delete;
   job_book& operator=(const job_book&) = delete;
@@ -39,6 +40,10 @@
   /// whatever else has changed in the record by that time.
   void mark(job& one, std::uint32_t task, bool urgent = true);
   void mark_head(job& one);
+  /// A new attempt: the start log stores it at once, its record follows.
+  void mark_start(job& one, std::uint32_t task);
+  /// A key of the start log, as an earlier leader left it; after all records were read.
+  void read_log(const std::vector<entry>& found);
   /// A finished job without attempts moves to its final key and leaves the book.
   void retire(job& one);
   /// Calls back once everything marked on the head so far is stored, or with false when it won't
@@ -74,6 +79,7 @@
   std::uint32_t txn_ops_;
   hooks events_;
   std::unordered_map<std::string, job> jobs_;
+  start_log log_;
   std::deque<unit_name> urgent_;
   std::deque<waiting_unit> progress_;
   std::set<unit_name> in_urgent_;
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -145,6 +145,7 @@
 
 void registry::apply(worker& from, const report& said, std::vector<command>& out) {
   std::set<std::pair<std::string, std::uint32_t>> present;
+  decltype(from.exits) still_listed;
   from.strangers.clear();
   from.strangers_run = false;
   for (const auto& item : said.tasks) {
@@ -167,8 +168,13 @@
     }
     if (item.phase == attempt_phase::exited) {
       // The worker forgets an exit only once what it means is stored.
+      const auto exit = from.exits.find({item.job, item.task, item.number});
+      if (exit != from.exits.end()) still_listed.insert(*exit);
       const bool stored =
-          one == nullptr || item.task >= one->spec.tasks ||
+          one == nullptr ||
+          (exit != from.exits.end() &&
+           one->units[one->unit_of(item.task)].stored >= exit->second) ||
+          item.task >= one->spec.tasks ||
           (!one->units[one->unit_of(item.task)].dirty() && one->attempts.count(item.task) == 0) ||
           (one->attempts.count(item.task) != 0 &&
            one->attempts.at(item.task).number != item.number);
@@ -192,6 +198,8 @@
     }
   }
 
+  from.exits = std::move(still_listed);
+
   const auto held = from.attempts;
   for (const auto& [id, task] : held) {
     if (present.count({id, task}) != 0) continue;
@@ -251,14 +259,16 @@
 }
 
 void registry::exited(worker& from, job& one, std::uint32_t task, exit_cause cause) {
+  const auto number = one.attempts.at(task).number;
   const auto level = cause == exit_cause::done || cause == exit_cause::stopped
                          ? spdlog::level::debug
                          : spdlog::level::info;
   spdlog::log(level, "exit job={} task={} try={} machine={} cause={} term={}", one.spec.id, task,
-              one.attempts.at(task).number, from.name, cause_name(cause), token_);
+              number, from.name, cause_name(cause), token_);
   if (cause == exit_cause::done) {
     from.failed_jobs.clear();
     finish_task(one, task);
+    from.exits[{one.spec.id, task, number}] = one.units[one.unit_of(task)].mutation;
     return;
   }
   if (cause == exit_cause::error) note_error(from, one);
@@ -266,6 +276,7 @@
   drop_attempt(from, one, task);
   one.attempts.erase(task);
   book_.mark(one, task, false);
+  from.exits[{one.spec.id, task, number}] = one.units[one.unit_of(task)].mutation;
   after_loss(one, false);
 }
 
@@ -382,9 +393,8 @@
   entry.number = number;
   entry.machine = machine;
   entry.session = at.session;
-  book_.mark(one, task);
-  entry.mutation = one.units[one.unit_of(task)].mutation;
   one.attempts[task] = entry;
+  book_.mark_start(one, task);
   at.attempts.emplace(one.spec.id, task);
   at.view.reset();
 }
--- a/src/workers/registry.hpp
+++ b/src/workers/registry.hpp
@@ -33,6 +33,9 @@
   std::set<std::pair<std::string, std::uint32_t>> attempts;   // ours, not proven gone
   std::set<std::pair<std::string, std::uint32_t>> strangers;  // listed, but not ours
   bool strangers_run = false;
+  /// Exits dealt with, and the change of the record that has to be stored before the worker may
+  /// forget them: job, task, number of the try.
+  std::map<std::tuple<std::string, std::uint32_t, std::uint64_t>, std::uint64_t> exits;
   std::deque<std::pair<std::string, double>> images;  // most recently used first
   std::set<std::string> failed_jobs;                  // ended with an error here, none done since
   bool sick = false;
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -21,7 +21,7 @@
       : state(net, "state:1"),
         runtime(net, "node-0"),
         client(runtime, "state:1", 100, 50, 50),
-        book(runtime, client, {"gd/leader", 0}, 24,
+        book(runtime, client, {"gd/leader", 0}, 24, 7000,
              {[](const std::string&) {}, [](const std::string&, const store::final_state&) {},
               [] {}, [this] { return valid; }}),
         registry(runtime, book, {seconds(1), seconds(6), seconds(5), 2, seconds(10)}, our_token,
--- a/tests/support/admission_trace.cpp
+++ b/tests/support/admission_trace.cpp
@@ -118,7 +118,7 @@
       rules_.delete_delay = from_seconds(in.number("delete", 60));
       rules_.upgrade_min_left = from_seconds(in.number("min_left", 120));
       rules_.gather_delay = from_seconds(in.number("gather", 60));
-      rules_.gather_share = in.number("share", 0.1);
+      rules_.gather_share = in.number("share", 0.03);
     } else if (verb == "team") {
       world_.teams.push_back({in.words.at(1), in.number("cpus", 0), in.number("cpus_max", 0),
                               in.number("gpus", 0), in.number("gpus_max", 0)});
