--- a/src/admission/scheduler.cpp
+++ b/src/admission/scheduler.cpp
@@ -23,6 +23,14 @@
   race();
   upgrade();
   demand();
+  std::set<std::pair<std::string, bool>> crowded;
+  for (const auto& job : jobs_) {
+    if (job.left.empty()) continue;
+    for (const auto& one : job.set->variants) {
+      if (one.tier == 0) crowded.insert({one.where.type, one.where.spot});
+    }
+  }
+  owner_.book_.crowd(std::move(crowded));
   return std::move(out_);
 }
 
--- a/src/admission/types.hpp
+++ b/src/admission/types.hpp
@@ -146,6 +146,8 @@
 struct policy {
   bool spot_first = true;
   duration create_delay = seconds(5);
+  /// While jobs whose best pool it is wait there, a lower variant is created only after this.
+  duration crowded_delay = seconds(45);
   duration rent_delay = seconds(20);  // no machine is rented in a lower pool before this
   duration delete_delay = seconds(60);
   duration upgrade_min_left = seconds(120);
--- a/src/admission/variants.cpp
+++ b/src/admission/variants.cpp
@@ -76,7 +76,12 @@
     }
   }
   for (auto& one : set.variants) {
-    const bool created = one.tier == 0 || world.now - set.created >= rules_.create_delay;
+    // Tasks of arrays slip into every gap of a lower pool, and gangs that have no other pool would
+    // find no whole machine there: their queue makes the lower variants wait longer.
+    const bool crowded = crowded_.count({one.where.type, one.where.spot}) != 0;
+    const duration delay =
+        crowded ? std::max(rules_.create_delay, rules_.crowded_delay) : rules_.create_delay;
+    const bool created = one.tier == 0 || world.now - set.created >= delay;
     if (!job.waiting.empty()) {
       one.active = created;
     } else {
--- a/src/admission/variants.hpp
+++ b/src/admission/variants.hpp
@@ -33,11 +33,14 @@
   /// Another job took its place: all variants and countdowns start anew.
   void reset(const std::string& job, time_point now);
   void forget_all_but(const std::set<std::string>& jobs);
+  /// The kinds of pools that some job waits for as its best ones, as of the last pass.
+  void crowd(std::set<std::pair<std::string, bool>> kinds) { crowded_ = std::move(kinds); }
   const variant_set* find(const std::string& job) const;
 
  private:
   std::vector<variant> create(const job_view& job, const snapshot& world) const;
   const policy rules_;
+  std::set<std::pair<std::string, bool>> crowded_;  // machine type, spot
   std::unordered_map<std::string, variant_set> sets_;
 };
 
