--- a/src/admission/demand.cpp
+++ b/src/admission/demand.cpp
@@ -50,8 +50,9 @@
 
 /// A gang that needs many machines of one zone at once never finds them on a busy fleet: smaller
 /// jobs take each as it falls free. From `gather_delay` on, machines that are free for it are kept
-/// for it, in one zone, until there are enough. The first gang of each priority in the heap's order
-/// may always gather; further ones only while little of the pool is kept, for kept machines idle.
+/// for it, in one zone, until there are enough. Kept machines idle, so that only a small share of a
+/// pool is kept; but the first gang of each priority in the heap's order that has waited for twice
+/// the delay always gathers, however many it needs.
 void pass_state::gather() {
   std::map<pool, std::size_t> kept;  // by group, for all gathering gangs
   for (const auto& [name, held] : owner_.reserved_) ++kept[room_.at(room_.find(name)).view->where];
@@ -62,14 +63,21 @@
     if (!view.gang || job.left.size() < 2 || job.set->preempting) continue;
     if (world_.now - job.set->created < owner_.rules_.gather_delay) continue;
     if (!quota_allows(job, static_cast<double>(job.left.size()))) continue;
+    // Once begun in a zone it goes on there: with machines kept in two, both halves would idle.
     std::vector<std::size_t> best;
+    bool begun = false;
     for (const auto& one : job.set->variants) {
       if (!one.active) continue;
       auto found = fitting(job, one.where, job.left.size());
-      if (found.size() > best.size()) best = std::move(found);
-      if (best.size() == job.left.size()) break;
+      const bool whole = found.size() == job.left.size();
+      const bool ours = !found.empty() && room_.at(found.front()).kept_for != nullptr;
+      if (whole || (ours && !begun) || (!begun && found.size() > best.size()))
+        best = std::move(found);
+      begun = begun || ours;
+      if (whole) break;
     }
-    const bool always = first.insert(view.level).second;
+    const bool always = world_.now - job.set->created >= owner_.rules_.gather_delay * 2 &&
+                        first.insert(view.level).second;
     for (const auto machine : best) {
       const auto& group = room_.of(room_.at(machine).group);
       const bool ours = room_.at(machine).kept_for != nullptr;
