--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -40,10 +40,13 @@
   admission::policy policy;
   policy.spot_first = rules.pool_order.front() == "spot";
   policy.create_delay = rules.create_delay;
+  policy.crowded_delay = rules.crowded_delay;
   policy.rent_delay = rules.rent_delay;
   policy.delete_delay = rules.delete_delay;
   policy.upgrade_min_left = rules.upgrade_min_left;
   policy.preempt_hold = rules.preempt_hold;
+  policy.gather_delay = rules.gather_delay;
+  policy.gather_share = rules.gather_share;
   daemon::threaded_planner planner(
       policy, [&runtime](std::function<void()> action) { runtime.post(std::move(action)); });
   std::random_device entropy;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -206,10 +206,16 @@
            throw settings_error(file, field, "must name spot and on_demand, each once");
        }},
       {"admission/create_delay_s", span(out.create_delay, 0, 3600)},
+      {"admission/crowded_delay_s", span(out.crowded_delay, 0, 3600)},
       {"admission/rent_delay_s", span(out.rent_delay, 0, 3600)},
       {"admission/delete_delay_s", span(out.delete_delay, 0, 86400)},
       {"admission/upgrade_min_left_s", span(out.upgrade_min_left, 0, 86400)},
       {"admission/preempt_hold_s", span(out.preempt_hold, 1, 600)},
+      {"admission/gather_delay_s", span(out.gather_delay, 0, 3600)},
+      {"admission/gather_share",
+       [&](const std::string& field, const std::string& text) {
+         out.gather_share = number(field, text, 0, 1);
+       }},
       {"admission/pass_interval_s", span(out.pass_interval, 0.01, 10)},
       {"fleet/idle_return_s", span(out.idle_return, 0, 86400)},
       {"fleet/refusal_backoff_s", span(out.refusal_backoff, 1, 600)},
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -65,10 +65,13 @@
   // admission
   std::vector<std::string> pool_order = {"spot", "on_demand"};
   duration create_delay = seconds(5);
+  duration crowded_delay = seconds(45);
   duration rent_delay = seconds(20);
   duration delete_delay = seconds(60);
   duration upgrade_min_left = seconds(120);
   duration preempt_hold = seconds(20);
+  duration gather_delay = seconds(60);
+  double gather_share = 0.03;
   duration pass_interval = milliseconds(100);
   // fleet
   duration idle_return = seconds(25);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -81,6 +81,9 @@
   EXPECT_EQ(sample.delete_delay, defaults.delete_delay);
   EXPECT_EQ(sample.upgrade_min_left, defaults.upgrade_min_left);
   EXPECT_EQ(sample.preempt_hold, defaults.preempt_hold);
+  EXPECT_EQ(sample.crowded_delay, defaults.crowded_delay);
+  EXPECT_EQ(sample.gather_delay, defaults.gather_delay);
+  EXPECT_EQ(sample.gather_share, defaults.gather_share);
   EXPECT_EQ(sample.pass_interval, defaults.pass_interval);
   EXPECT_EQ(sample.idle_return, defaults.idle_return);
   EXPECT_EQ(sample.refusal_backoff, defaults.refusal_backoff);
