--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -131,10 +131,12 @@
   store_.txn(
       {{store::head_key(id), 0}, {store::final_key(id), 0}},
       {{store::head_key(id), store::write_new(asked.spec, created, how_.unit_tasks), 0, false}},
-      [this, id, message, forwarded, reply, alive = alive_](const store::result& answer) {
+      [this, id, message, forwarded, reply, lane = asked.spec.lane, tasks = asked.spec.tasks,
+       alive = alive_](const store::result& answer) {
         if (!*alive) return;
         --waiting_;
         if (answer.ok()) {
+          spdlog::debug("accepted job={} lane={} tasks={}", id, lane, tasks);
           events_.submitted(id);
           reply({201, write_state(id, "pending"), std::nullopt, false});
         } else if (answer.status == 409) {
--- a/src/workers/deputy.cpp
+++ b/src/workers/deputy.cpp
@@ -72,7 +72,9 @@
     confirming_ = false;
     if (!found.ok() || found.entries.empty()) return settle();
     const auto token = store::number_field(found.entries.front().value, "token");
-    if (token != token_) entered_ = false;
+    // A new leader finds our record as it stands: while that says that we act, a change of leader
+    // needs no new one. Writing it again first once cost half a zone its leases: the old leader
+    // crashed behind a cut, and its successor's first second found nobody to answer the workers.
     token_ = token;
     confirmed_ = found.sent;
     if (!entered_) enter(found.entries.front().version);
