A machine rented in this term is used from its first report on

Excluded: deaf machines (5 false signs, each cleared within 1 s). A machine rented in this term has no earlier reports to be copies of.

--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -85,7 +85,8 @@
                     if (type.name == name) return type.cache_gb;
                   }
                   return 0.0;
-                }}),
+                },
+                [this](const std::string& name) { return fleet_.rented_here(name); }}),
       fleet_(runtime, fleet_options(platform, rules), token,
              {[this](const std::string& machine, const char* proof) {
                 workers_.machine_gone(machine, proof);
--- a/src/fleet/inventory.cpp
+++ b/src/fleet/inventory.cpp
@@ -259,6 +259,7 @@
                     if (names) {
                       for (const auto& host : *names) {
                         auto [at, fresh] = machines_.try_emplace(host);
+                        at->second.rented_here = true;
                         if (!fresh) continue;
                         at->second.name = host;
                         at->second.where = asked.where;
--- a/src/fleet/inventory.hpp
+++ b/src/fleet/inventory.hpp
@@ -30,6 +30,7 @@
   bool listed = false;         // at least once
   time_point missing_since{};  // of the lists since
   bool releasing = false;
+  bool rented_here = false;    // in this term
   bool reports = false;        // its worker was heard in this term
   time_point running_since{};  // first shown as running
 };
@@ -56,6 +57,10 @@
   bool releasing(const std::string& name) const;
   /// Proven gone in this term: what still arrives from it is old.
   bool departed(const std::string& name) const { return departed_.count(name) != 0; }
+  bool rented_here(const std::string& name) const {
+    const auto found = machines_.find(name);
+    return found != machines_.end() && found->second.rented_here;
+  }
   std::set<admission::pool> refused() const;
   /// Machines on their way: rented or asked for, not heard of yet.
   std::vector<machine> starting() const;
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -49,10 +49,11 @@
 }
 
 /// A worker that has not shown our token has not received a word of ours: its report may be a late
-/// copy from an earlier term, or its machine may hear nothing.
+/// copy from an earlier term, or its machine may hear nothing. One that was rented in this term has
+/// no earlier reports, and is not kept waiting for a second one.
 bool registry::takes_tasks(const worker& one) const {
   return !silent(one) && !one.notice && !one.sick && !one.strangers_run && !one.deaf_since &&
-         one.token == token_;
+         (one.token == token_ || one.newborn);
 }
 
 /// Reports arrive, but there is a sign that answers don't: nothing is placed there until the
@@ -112,6 +113,7 @@
   from.last_report = now;
   from.seq = said.seq;
   from.token = said.token;
+  from.newborn = said.token == 0 && events_.rented_now(said.machine);
   from.notice = said.notice;
   if (said.session > from.session) {
     // Its lease ran out although it reports here. Of a machine known for long this is a sign.
--- a/src/workers/registry.hpp
+++ b/src/workers/registry.hpp
@@ -39,6 +39,7 @@
   std::deque<std::pair<std::string, double>> images;  // most recently used first
   std::set<std::string> failed_jobs;                  // ended with an error here, none done since
   bool sick = false;
+  bool newborn = false;                  // rented in this term, and has heard nobody yet
   std::optional<time_point> deaf_since;  // answers may not reach it
   time_point next_probe{};
   time_point idle_since{};
@@ -53,6 +54,7 @@
     std::function<bool()> valid;    // the leader's lease is surely held
     std::function<void()> changed;  // something a scheduling pass should know
     std::function<double(const std::string& type)> cache_gb;
+    std::function<bool(const std::string& machine)> rented_now;  // in this term
   };
   registry(net::runtime& runtime, store::job_book& book, options how, std::uint64_t token,
            hooks events);
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -25,7 +25,8 @@
              {[](const std::string&) {}, [](const std::string&, const store::final_state&) {},
               [] {}, [this] { return valid; }}),
         registry(runtime, book, {seconds(1), seconds(6), seconds(5), 2, seconds(10)}, our_token,
-                 {[this] { return valid; }, [] {}, [](const std::string&) { return 50.0; }}) {
+                 {[this] { return valid; }, [] {}, [](const std::string&) { return 50.0; },
+                  [this](const std::string&) { return rented_now; }}) {
     store::job one;
     one.spec.id = "run-1";
     one.spec.team = "red";
@@ -61,6 +62,7 @@
   sim_runtime runtime;
   store::client client;
   bool valid = true;
+  bool rented_now = false;
   store::job_book book;
   workers::registry registry;
 };
@@ -181,6 +183,12 @@
   EXPECT_FALSE(registry.takes_tasks(*registry.find("m")));
 }
 
+TEST_F(proofs, a_machine_rented_in_this_term_is_used_from_its_first_report_on) {
+  rented_now = true;
+  registry.handle(report(3, 1, 0));
+  EXPECT_TRUE(registry.takes_tasks(*registry.find("m")));
+}
+
 TEST_F(proofs, a_late_copy_from_an_earlier_term_makes_no_machine_usable) {
   registry.handle(report(3, 5, our_token - 1));
   EXPECT_FALSE(registry.takes_tasks(*registry.find("m")));
