--- /dev/null
+++ b/tests/added_rules_test.cpp
@@ -0,0 +1,179 @@
+// The rules and troubles that the operators added, in virtual time. A day's course is fixed by its
+// seed; the store keeps its request and write limits.
+#include <gtest/gtest.h>
+
+#include "support/sim_service.hpp"
+
+namespace gingerdrift::testing {
+
+namespace {
+
+sim_job array_of(const std::string& id, std::uint32_t tasks, double run_s) {
+  sim_job job;
+  job.id = id;
+  job.team = "blue";
+  job.tasks = tasks;
+  job.run_s = run_s;
+  job.spot = true;
+  return job;
+}
+
+sim_job gang_of(const std::string& id, std::uint32_t tasks, double run_s) {
+  sim_job job;
+  job.id = id;
+  job.team = "red";
+  job.gang = true;
+  job.tasks = tasks;
+  job.gpus = 8;
+  job.cpus = 8;
+  job.run_s = run_s;
+  job.one_zone = true;
+  return job;
+}
+
+void submit_over(sim_service& service, std::size_t count, duration over) {
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string id = "run-" + std::to_string(100 + i);
+    const double run_s = service.net.uniform(5, 25);
+    const sim_job job = i % 3 == 0 ? gang_of(id, 1 + i % 2, run_s) : array_of(id, 6, run_s);
+    service.net.after(from_seconds(service.net.uniform(0, to_seconds(over))),
+                      [&service, job] { service.site.submit(job); });
+  }
+}
+
+}  // namespace
+
+class added : public ::testing::TestWithParam<std::uint64_t> {};
+INSTANTIATE_TEST_SUITE_P(days, added, ::testing::Values(1, 2, 3, 4));
+
+TEST_P(added, machines_that_hear_nothing_are_replaced_and_late_copies_change_nothing) {
+  sim_service service(GetParam(), 5);
+  auto& net = service.net;
+  net.copy_late("/v1/report", 0.2, seconds(25));  // four times a lease
+  submit_over(service, 24, seconds(60));
+  std::set<std::string> deaf;
+  net.after(seconds(25), [&] {
+    for (const auto& [name, one] : service.site.machines) {
+      if (!one->up || one->gone || deaf.size() >= 3) continue;
+      deaf.insert(name);
+      for (const auto& node : service.site.nodes)
+        net.cut_one_way(service.site.host_of(node), name, seconds(60));
+    }
+  });
+  net.after(seconds(40), [&] { service.crash_for(*service.leader(), milliseconds(200)); });
+  net.run_for(seconds(80));
+  ASSERT_EQ(deaf.size(), 3U);
+  for (const auto& name : deaf) EXPECT_TRUE(service.site.machines.at(name)->gone) << name;
+  EXPECT_TRUE(service.run_until_over(seconds(400)));
+  EXPECT_EQ(service.rules_broken(), "");
+  EXPECT_EQ(service.site.count("done"), 24U);
+}
+
+// The leader keeps its workers but hears neither the store nor a peer: a successor takes over, the
+// workers go there, cancellations hold, and the load balancer is told.
+TEST_P(added, a_leader_left_with_its_workers_alone_makes_way) {
+  sim_service service(GetParam(), 5);
+  auto& net = service.net;
+  submit_over(service, 24, seconds(60));
+  std::optional<std::size_t> cut_off;
+  int health = 0;
+  net.after(seconds(30), [&] {
+    cut_off = service.leader();
+    const std::string name = "node-" + std::to_string(*cut_off);
+    net.cut(name, "state", seconds(40), sim_net::cut_mode::drop);
+    for (int i = 0; i < 5; ++i) {
+      const std::string other = "node-" + std::to_string(i);
+      if (other != name) net.cut(name, other, seconds(40), sim_net::cut_mode::drop);
+    }
+  });
+  net.after(seconds(38), [&] {
+    net.call("balancer", "node-" + std::to_string(*cut_off) + ":1", {"GET", "/healthz", ""},
+             seconds(1), [&](const net::response& reply) { health = reply.status; });
+  });
+  for (int i = 0; i < 6; ++i)
+    net.after(seconds(34 + i), [&, i] { service.site.withdraw("run-" + std::to_string(104 + i)); });
+  net.run_for(seconds(60));
+  EXPECT_EQ(health, 503);
+  const auto now = service.leader();
+  ASSERT_TRUE(now.has_value());
+  EXPECT_NE(*now, *cut_off);
+  EXPECT_TRUE(service.run_until_over(seconds(400)));
+  EXPECT_EQ(service.rules_broken(), "");
+}
+
+// All controllers restart with hundreds of unfinished jobs, mid-election and within moments: after
+// that every job answers a poll within 75 s, though the store allows few requests.
+TEST_P(added, every_job_is_known_soon_after_all_controllers_restarted) {
+  sim_service service(GetParam(), 5);
+  auto& net = service.net;
+  service.site.capacity = 1;  // next to nothing runs: the jobs stay
+  for (int i = 0; i < 300; ++i) {
+    const sim_job job = array_of("run-" + std::to_string(1000 + i), 40, 300);
+    net.after(from_seconds(net.uniform(1, 30)), [&service, job] { service.site.submit(job); });
+  }
+  net.run_for(seconds(50));
+  ASSERT_EQ(service.site.told.size(), 300U);
+  for (int round = 0; round < 3; ++round) {
+    for (std::size_t node = 0; node < 5; ++node)
+      service.crash_for(node, from_seconds(net.uniform(0.1, 1)));
+    net.run_for(milliseconds(1300));
+  }
+  const time_point calm = net.now();
+  net.run_for(seconds(30));
+  std::size_t unheard = 0;
+  for (const auto& [id, state] : service.site.told) unheard += service.site.answered[id] < calm;
+  EXPECT_EQ(unheard, 0U) << "well within the 75 s allowed";
+  EXPECT_EQ(service.rules_broken(), "");
+}
+
+// A fleet kept full by small jobs of the same priority: the gang that needs most machines of one
+// zone still begins within four minutes, and nobody else starves.
+TEST_P(added, the_largest_gang_begins_on_a_full_fleet) {
+  site_shape shape;
+  shape.teams = 4;  // the fleet is what limits them
+  sim_service service(GetParam(), 3, shape);
+  auto& net = service.net;
+  for (int i = 0; i < 220; ++i) {
+    sim_job job = gang_of("run-" + std::to_string(1000 + i), 1, 25);
+    job.team = i % 2 == 0 ? "blue" : "red";
+    net.after(from_seconds(i * 1.7), [&service, job] { service.site.submit(job); });
+  }
+  sim_job largest = gang_of("run-1", 4, 20);
+  net.after(seconds(60), [&] { service.site.submit(largest); });
+  net.run_for(seconds(380));
+  ASSERT_EQ(service.site.began.count("run-1"), 1U);
+  EXPECT_LT(service.site.began.at("run-1") - service.site.submitted.at("run-1"), seconds(240));
+  EXPECT_EQ(service.rules_broken(), "");
+}
+
+// A fleet of hundreds of machines and thousands of tasks: what is asked of the store and the cloud
+// follows the work and not its square. No time is measured.
+TEST(grown, calls_and_writes_follow_the_work) {
+  site_shape shape;
+  shape.report_s = 5;
+  shape.lease_s = 24;
+  shape.cancel_s = 44;
+  shape.teams = 40;
+  sim_service service(11, 5, shape);
+  auto& net = service.net;
+  service.site.capacity = 150;  // of each zone and kind: 600 machines
+  std::size_t tasks = 0;
+  for (int i = 0; i < 120; ++i) {
+    sim_job job = array_of("run-" + std::to_string(1000 + i), 50, net.uniform(20, 40));
+    if (i % 4 == 0) job = gang_of("run-" + std::to_string(1000 + i), 1 + i % 3, 30);
+    job.team = i % 2 == 0 ? "red" : "blue";
+    tasks += job.tasks;
+    net.after(from_seconds(net.uniform(1, 40)), [&service, job] { service.site.submit(job); });
+  }
+  net.run_for(seconds(41));
+  ASSERT_TRUE(service.run_until_over(seconds(600)));
+  EXPECT_EQ(service.rules_broken(), "");
+  EXPECT_GE(service.site.starts, tasks);
+  EXPECT_LT(service.state.writes_taken(), tasks) << "less than a write for each task";
+  EXPECT_LE(service.state.biggest_value(), 8U << 10);
+  EXPECT_LE(service.state.most_operations(), 24U);
+  const double minutes = net.seconds_now() / 60;
+  EXPECT_LT(static_cast<double>(service.site.cloud_calls), minutes * 60 * 4);
+}
+
+}  // namespace gingerdrift::testing
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -146,4 +146,49 @@
   EXPECT_NE(registry.handle(with).find("run-1/1"), std::string::npos);
 }
 
+TEST_F(proofs, a_machine_that_misses_a_start_gets_nothing_until_it_answers) {
+  auto with = report(3, 5, our_token);
+  with.tasks = {task(attempt_phase::running)};
+  registry.handle(with);
+  EXPECT_TRUE(registry.takes_tasks(*registry.find("m")));
+  registry.place(*book.find("run-1"), 1, "m", 2);
+  net.run_for(seconds(1));
+  with.seq = 6;
+  ASSERT_NE(registry.handle(with).find("\"run\""), std::string::npos);
+  with.seq = 7;  // reports arrive, and do not list it: the answer got lost
+  EXPECT_EQ(registry.handle(with).find("\"run\""), std::string::npos);
+  EXPECT_EQ(book.find("run-1")->attempts.count(1), 0U) << "proven not started, it may move";
+  EXPECT_FALSE(registry.takes_tasks(*registry.find("m")));
+  registry.probe();
+  net.run_for(seconds(3));
+  EXPECT_FALSE(registry.takes_tasks(*registry.find("m"))) << "nobody answers there";
+  net.serve("m", "m:9", [](const net::request&, const net::reply_fn& reply) {
+    reply({200, "{}", std::nullopt, false});
+  });
+  registry.probe();
+  net.run_for(seconds(1));
+  with.seq = 8;
+  registry.handle(with);
+  EXPECT_TRUE(registry.takes_tasks(*registry.find("m"))) << "used again once it hears us";
+}
+
+TEST_F(proofs, a_lease_that_ran_out_under_our_answers_is_a_sign_of_deafness) {
+  auto with = report(3, 5, our_token);
+  with.tasks = {task(attempt_phase::running)};
+  registry.handle(with);
+  registry.handle(report(4, 1, our_token));
+  EXPECT_FALSE(held()) << "answered reports are no proof that the lease was renewed";
+  EXPECT_FALSE(registry.takes_tasks(*registry.find("m")));
+}
+
+TEST_F(proofs, a_late_copy_from_an_earlier_term_makes_no_machine_usable) {
+  registry.handle(report(3, 5, our_token - 1));
+  EXPECT_FALSE(registry.takes_tasks(*registry.find("m")));
+  EXPECT_TRUE(held());
+  auto with = report(3, 6, our_token);
+  with.tasks = {task(attempt_phase::running)};
+  registry.handle(with);
+  EXPECT_TRUE(registry.takes_tasks(*registry.find("m")));
+}
+
 }  // namespace gingerdrift::testing
--- a/tests/support/stand_ins.cpp
+++ b/tests/support/stand_ins.cpp
@@ -106,6 +106,9 @@
     if (one.contains("hold") && leases_.count(one["hold"].get<std::uint64_t>()) == 0)
       return send(reply, 400, {{"error", "no such lease"}});
   }
+  const auto changes = static_cast<double>(body.at("then").size());
+  if (!writes_.take(net_.now(), changes)) return send(reply, 429, {{"error", "too many changes"}});
+  writes_taken_ += body.at("then").size();
   if (!failed.empty()) return send(reply, 409, {{"failed", failed}, {"epoch", revision_}});
   most_operations_ = std::max(most_operations_, body.at("then").size());
   ++revision_;
@@ -124,6 +127,7 @@
 void state_service::handle(const net::request& message, const net::reply_fn& reply) {
   const std::string path = message.target.substr(0, message.target.find('?'));
   if (down()) return send(reply, 503, {{"error", "trouble"}});
+  if (!requests_.take(net_.now())) return send(reply, 429, {{"error", "too many requests"}});
   if (path.rfind("/store/", 0) == 0) {
     const auto key = path.substr(7);
     const auto found = entries_.find(key);
@@ -441,6 +445,7 @@
 }
 
 void sim_site::handle_cloud(const net::request& message, const net::reply_fn& reply) {
+  ++cloud_calls;
   if (net.now() < cloud_down_until_) return send(reply, 503, {{"error", "trouble"}});
   const std::string path = message.target.substr(0, message.target.find('?'));
   if (path == "/flavors") {
@@ -510,6 +515,7 @@
 
 void sim_site::started(sim_machine& on, const std::string& job, std::uint32_t task) {
   ++starts;
+  began.emplace(job, net.now());
   const auto& spec = jobs.at(job);
   std::size_t in_zone = 0;
   for (const auto& [name, one] : machines) {
@@ -554,6 +560,7 @@
 
 void sim_site::submit(const sim_job& job) {
   jobs[job.id] = job;
+  submitted.emplace(job.id, net.now());
   send_submit(job.id);
 }
 
@@ -578,6 +585,7 @@
     net.call("users", any_node(), {"GET", "/work/" + id, ""}, seconds(2),
              [this, id](const net::response& reply) {
                if (reply.status == 404) broken.push_back("forgotten " + id);
+               if (reply.status == 200) answered[id] = net.now();
                if (reply.status == 200)
                  hear(id, json::parse(reply.body).at("status").get<std::string>());
                poll(id);
--- a/tests/support/stand_ins.hpp
+++ b/tests/support/stand_ins.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "store/rate_budget.hpp"
 #include "support/sim_net.hpp"
 
 namespace gingerdrift::testing {
@@ -23,6 +24,12 @@
   std::size_t keys() const { return entries_.size(); }
   std::size_t biggest_value() const { return biggest_; }
   std::size_t most_operations() const { return most_operations_; }
+  /// Above these, everybody gets 429; bursts of one second's worth.
+  void limit(double requests, double writes) {
+    requests_ = store::rate_budget(requests);
+    writes_ = store::rate_budget(writes);
+  }
+  std::size_t writes_taken() const { return writes_taken_; }
   const json* peek(const std::string& key) const;
 
  private:
@@ -59,6 +66,9 @@
   time_point down_until_{};
   std::size_t biggest_ = 0;
   std::size_t most_operations_ = 0;
+  std::size_t writes_taken_ = 0;
+  store::rate_budget requests_{1e9};
+  store::rate_budget writes_{1e9};
 };
 
 struct sim_job {
@@ -87,6 +97,7 @@
   double cancel_s = 14;
   double boot_s = 5;
   double list_lag_s = 2;
+  double teams = 1;  // how many times the usual guarantees and limits
 };
 
 class sim_site;
@@ -176,6 +187,10 @@
   std::map<std::string, std::string> told;  // what the user heard last: accepted, done, cancelled
   std::size_t capacity = 6;                 // machines of each zone and kind
   std::size_t starts = 0;
+  std::size_t cloud_calls = 0;
+  std::map<std::string, time_point> answered;   // when a poll of a job last got an answer
+  std::map<std::string, time_point> submitted;  // when a user first tried
+  std::map<std::string, time_point> began;      // its first task's first start
   std::string host_of(const std::string& address) const;
 
  private:
