--- a/src/admission/scheduler.cpp
+++ b/src/admission/scheduler.cpp
@@ -23,11 +23,14 @@
   race();
   upgrade();
   demand();
-  std::set<std::pair<std::string, bool>> crowded;
+  variant_book::crowd_map crowded;
   for (const auto& job : jobs_) {
     if (job.left.empty()) continue;
     for (const auto& one : job.set->variants) {
-      if (one.tier == 0) crowded.insert({one.where.type, one.where.spot});
+      if (one.tier != 0) continue;
+      const auto [lowest, fresh] =
+          crowded.try_emplace({one.where.type, one.where.spot}, job.view->level);
+      if (!fresh) lowest->second = std::min(lowest->second, job.view->level);
     }
   }
   owner_.book_.crowd(std::move(crowded));
--- a/src/admission/variants.cpp
+++ b/src/admission/variants.cpp
@@ -77,8 +77,10 @@
   }
   for (auto& one : set.variants) {
     // Tasks of arrays slip into every gap of a lower pool, and gangs that have no other pool would
-    // find no whole machine there: their queue makes the lower variants wait longer.
-    const bool crowded = crowded_.count({one.where.type, one.where.spot}) != 0;
+    // find no whole machine there: their queue makes the lower variants wait longer. Jobs of a
+    // higher priority need no such help: they may clear the room.
+    const auto queue = crowded_.find({one.where.type, one.where.spot});
+    const bool crowded = queue != crowded_.end() && queue->second <= job.level;
     const duration delay =
         crowded ? std::max(rules_.create_delay, rules_.crowded_delay) : rules_.create_delay;
     const bool created = one.tier == 0 || world.now - set.created >= delay;
--- a/src/admission/variants.hpp
+++ b/src/admission/variants.hpp
@@ -33,14 +33,16 @@
   /// Another job took its place: all variants and countdowns start anew.
   void reset(const std::string& job, time_point now);
   void forget_all_but(const std::set<std::string>& jobs);
-  /// The kinds of pools that some job waits for as its best ones, as of the last pass.
-  void crowd(std::set<std::pair<std::string, bool>> kinds) { crowded_ = std::move(kinds); }
+  /// The kinds of pools (machine type, spot) that jobs wait for as their best ones, as of the last
+  /// pass, and the lowest priority among these jobs.
+  using crowd_map = std::map<std::pair<std::string, bool>, priority>;
+  void crowd(crowd_map kinds) { crowded_ = std::move(kinds); }
   const variant_set* find(const std::string& job) const;
 
  private:
   std::vector<variant> create(const job_view& job, const snapshot& world) const;
   const policy rules_;
-  std::set<std::pair<std::string, bool>> crowded_;  // machine type, spot
+  crowd_map crowded_;
   std::unordered_map<std::string, variant_set> sets_;
 };
 
