--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -26,7 +26,8 @@
 constexpr auto drain_slack = seconds(4);
 /// So many machines of a zone, and at least half of them, silent at once: the zone is cut off.
 constexpr std::size_t least_cut_off = 3;
-constexpr duration cut_patience = seconds(45);
+/// Its machines are kept this much longer: back with the zone, they need neither boot nor image.
+constexpr duration cut_patience = seconds(120);
 constexpr duration deaf_patience = seconds(10);
 
 workers::options worker_options(const platform_settings& platform, const operator_settings& rules,
@@ -91,7 +92,8 @@
              {[this](const std::string& machine, const char* proof) {
                 workers_.machine_gone(machine, proof);
               },
-              [this] { changed(); }, [this] { return events_.valid(); }}),
+              [this] { changed(); }, [this] { return events_.valid(); },
+              [this](const std::string& zone) { return allowance(zone); }}),
       started_(runtime.now()),
       last_report_(started_) {
   fleet_.set_types(std::move(types));
@@ -458,7 +460,8 @@
   }
   for (const auto& coming : fleet_.starting()) {
     const auto* at = workers_.find(coming.name);
-    if (types.count(coming.where.type) == 0) continue;
+    // Nobody should wait for a machine that can't report, nor have more of them rented.
+    if (types.count(coming.where.type) == 0 || cut_off(coming.where.zone)) continue;
     if (at != nullptr && (at->reported || !at->attempts.empty())) continue;
     auto machine = std::make_shared<admission::machine_view>();
     machine->name = coming.name;
@@ -468,6 +471,12 @@
     world.machines.push_back(std::move(machine));
   }
   world.refused = fleet_.refused();
+  for (const auto& type : world.types) {
+    for (const auto& zone : type.zones) {
+      if (!cut_off(zone)) continue;
+      for (const bool spot : {false, true}) world.refused.insert({type.name, zone, spot});
+    }
+  }
   return world;
 }
 
@@ -561,50 +570,82 @@
   }
 }
 
-void term::return_machines() {
+duration term::silence() const {
+  return rules_.silent_release > duration::zero() ? rules_.silent_release : platform_.worker_lease;
+}
+
+/// Machines die one by one. When much of a zone falls silent at once, the zone is cut off, or its
+/// workers can't find the leader: they will be back, with their images. All machines that the cloud
+/// shows running count, heard of in this term or not: once a successor that had never heard them
+/// returned the 491 machines of a zone, and rented as many in that same zone, where they could not
+/// reach it either.
+void term::look_at_zones() {
   const time_point now = runtime_.now();
-  const duration silence =
-      rules_.silent_release > duration::zero() ? rules_.silent_release : platform_.worker_lease;
-  // Machines die one by one. When much of a zone falls silent at once, the zone is cut off, or its
-  // workers can't find the leader: they will be back, with their images.
   std::map<std::string, std::pair<std::size_t, std::size_t>> zones;  // silent, all
-  for (const auto& [name, at] : workers_.all()) {
-    const auto listed = fleet_.all().find(name);
-    const std::string& zone =
-        at.reported || listed == fleet_.all().end() ? at.where.zone : listed->second.where.zone;
-    auto& [quiet, all] = zones[zone];
+  for (const auto& [name, listed] : fleet_.all()) {
+    const auto* at = workers_.find(name);
+    const bool up = listed.reports || listed.status == fleet::machine_status::running;
+    if (!up || listed.releasing) continue;
+    const time_point heard = at != nullptr && at->reported ? at->last_report : time_point{};
+    auto& [quiet, all] = zones[listed.where.zone];
     ++all;
     // Many machines that don't hear us are our own trouble as much as many that are silent.
-    if (at.deaf_since || now - std::max(at.last_report, started_) > silence / 2) ++quiet;
+    const bool deaf = at != nullptr && at->deaf_since.has_value();
+    if (deaf || now - std::max({heard, listed.running_since, started_}) > silence() / 2) ++quiet;
+  }
+  for (const auto& [zone, count] : zones) {
+    const auto& [quiet, all] = count;
+    const bool cut = quiet >= least_cut_off && quiet * 2 >= all;
+    if (cut && !cut_off(zone))
+      spdlog::info("zone is cut off zone={} silent={} of={}", zone, quiet, all);
+    if (cut) cut_seen_[zone] = now;
   }
-  const auto cut_off = [&](const std::string& zone) {
-    const auto& [quiet, all] = zones[zone];
-    if (deputy_zones_.count(zone) != 0) return true;
-    return quiet >= least_cut_off && quiet * 2 >= all;
-  };
+  // Where a deputy acts, its workers hear it and not us.
+  for (const auto& zone : deputy_zones_) cut_seen_[zone] = now;
+}
+
+bool term::cut_off(const std::string& zone) const {
+  const auto seen = cut_seen_.find(zone);
+  return seen != cut_seen_.end() && runtime_.now() - seen->second < tick_period * 2;
+}
+
+/// For how much longer a zone's silent machines are kept. A cut that has ended still counts for a
+/// worker's lease, while its workers find the leader again one after the other: when the first half
+/// was back, the other half, 235 machines with 900 tasks, was once returned at that very moment.
+duration term::allowance(const std::string& zone) const {
+  const auto seen = cut_seen_.find(zone);
+  const bool lately =
+      seen != cut_seen_.end() && runtime_.now() - seen->second < platform_.worker_lease;
+  return lately ? cut_patience : duration::zero();
+}
+
+void term::return_machines() {
+  const time_point now = runtime_.now();
   for (auto& [name, at] : workers_.all()) {
     if (fleet_.releasing(name)) continue;
     if (!at.reported) {
       const auto listed = fleet_.all().find(name);
       const std::string zone = listed == fleet_.all().end() ? "" : listed->second.where.zone;
-      const duration patience = silence + (cut_off(zone) ? cut_patience : duration::zero());
+      const duration patience = silence() + allowance(zone);
       // Stored attempts on a machine that was not heard of in this term.
       if (!at.attempts.empty() && now - started_ > patience) fleet_.release(name, "never heard of");
       continue;
     }
     // A spot machine that falls silent has most likely been taken without notice.
-    const duration patience = at.where.spot ? std::max(silence / 2, platform_.report * 3) : silence;
-    if (now - at.last_report >
-        patience + (cut_off(at.where.zone) ? cut_patience : duration::zero())) {
+    const duration patience =
+        at.where.spot ? std::max(silence() / 2, platform_.report * 3) : silence();
+    if (now - at.last_report > patience + allowance(at.where.zone)) {
       fleet_.release(name, "silent");
       continue;
     }
-    if (at.deaf_since && now - *at.deaf_since > silence + deaf_patience &&
-        !cut_off(at.where.zone)) {
+    if (at.deaf_since &&
+        now - *at.deaf_since > silence() + deaf_patience + allowance(at.where.zone)) {
       fleet_.release(name, "answers don't reach it");
       continue;
     }
     if (!at.attempts.empty() || at.strangers_run) continue;
+    // Behind a cut its tasks are over with their lease, but it is no more idle than it was.
+    if (workers_.silent(at) && allowance(at.where.zone) > duration::zero()) continue;
     if (at.sick) {
       fleet_.release(name, "sick");
       continue;
@@ -652,6 +693,7 @@
   for (auto& [name, at] : workers_.all()) {
     if (at.notice) drain(at);
   }
+  look_at_zones();
   if (events_.valid()) return_machines();
   changed();
 }
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -62,6 +62,10 @@
   void answer_kept();
   void tick();
   void drain(workers::worker& at);
+  duration silence() const;
+  void look_at_zones();
+  bool cut_off(const std::string& zone) const;
+  duration allowance(const std::string& zone) const;
   void return_machines();
   void look_for_deputies();
 
@@ -91,6 +95,7 @@
   std::uint64_t watch_from_ = 0;
   std::set<std::string> looking_;
   std::set<std::string> expected_;
+  std::map<std::string, time_point> cut_seen_;     // when a zone was last found cut off
   std::map<std::string, std::uint64_t> deputies_;  // their records' versions, as last read
   std::set<std::string> deputy_zones_;             // where one acts
   std::optional<time_point> quiet_from_;           // none has acted since
--- a/src/fleet/inventory.cpp
+++ b/src/fleet/inventory.cpp
@@ -80,7 +80,8 @@
         from_seconds(to_seconds(boot_time(one.where.type)) * how_.boot_patience);
     const bool late = one.status == machine_status::starting && now - one.rented > patience;
     const bool silent = one.status == machine_status::running &&
-                        one.running_since != time_point{} && now - one.running_since > how_.silence;
+                        one.running_since != time_point{} &&
+                        now - one.running_since > how_.silence + events_.allowance(one.where.zone);
     if (late || silent) hopeless.push_back(name);
   }
   for (const auto& name : hopeless) release(name, "never came up");
--- a/src/fleet/inventory.hpp
+++ b/src/fleet/inventory.hpp
@@ -42,6 +42,7 @@
     std::function<void(const std::string& machine, const char* proof)> gone;
     std::function<void()> changed;
     std::function<bool()> valid;
+    std::function<duration(const std::string& zone)> allowance;  // for silent machines there
   };
   inventory(net::runtime& runtime, options how, std::uint64_t token, hooks events);
   ~inventory();
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -107,7 +107,8 @@
   // An old report has its list's age: it proves nothing and gets no commands.
   if (!newer) return write_commands(token_, out);
   if (!ready_) return write_commands(token_, out);
-  if (!from.reported) from.idle_since = now;
+  // Nobody could use it while it was silent: it is given its time to be found useful again.
+  if (!from.reported || silent(from)) from.idle_since = now;
   const bool was_ready = takes_tasks(from);
   from.reported = true;
   from.last_report = now;
--- a/tests/added_rules_test.cpp
+++ b/tests/added_rules_test.cpp
@@ -158,6 +158,50 @@
   EXPECT_EQ(service.rules_broken(), "");
 }
 
+// A zone is cut off from everything, for many leases, and its machines are back one half after the
+// other. They are all kept, none is rented there meanwhile, and a successor that has never heard
+// them knows no less.
+TEST_P(added, machines_of_a_cut_off_zone_are_kept_and_none_rented_there) {
+  sim_service service(GetParam(), 5);
+  auto& net = service.net;
+  service.site.capacity = 8;
+  for (int i = 0; i < 60; ++i) {
+    const std::string id = "run-" + std::to_string(100 + i);
+    sim_job job = i % 3 == 0 ? gang_of(id, 1 + i % 2, 20) : array_of(id, 12, 20);
+    net.after(from_seconds(net.uniform(0, 130)), [&service, job] { service.site.submit(job); });
+  }
+  std::vector<std::string> cut;
+  constexpr auto span = seconds(50);
+  net.after(seconds(40), [&] {
+    for (const auto& [name, one] : service.site.machines) {
+      if (one->zone != "b" || one->gone || !one->up) continue;
+      cut.push_back(name);
+      const duration late = cut.size() % 2 == 0 ? seconds(4) : seconds(0);
+      for (int node = 0; node < 5; ++node)
+        net.cut(name, "node-" + std::to_string(node), span + late, sim_net::cut_mode::drop);
+    }
+    for (const std::string other :
+         {"state", "cloud", "users", "node-0", "node-1", "node-3", "node-4"})
+      net.cut("node-2", other, span, sim_net::cut_mode::drop);
+  });
+  if (GetParam() % 2 == 0)
+    net.after(seconds(42), [&] { service.crash_for(*service.leader(), milliseconds(200)); });
+  net.run_for(seconds(95));
+  ASSERT_GE(cut.size(), 4U);
+  std::size_t returned = 0;
+  for (const auto& name : cut) returned += service.site.machines.at(name)->gone;
+  EXPECT_EQ(returned, 0U);
+  std::size_t rented = 0;
+  for (const auto& [name, one] : service.site.machines) {
+    // The zone has to be silent for a while before it counts as cut off.
+    const duration when = one->rented - time_point(seconds(1000));
+    rented += one->zone == "b" && when > seconds(50) && when < seconds(90);
+  }
+  EXPECT_EQ(rented, 0U);
+  EXPECT_TRUE(service.run_until_over(seconds(400)));
+  EXPECT_EQ(service.rules_broken(), "");
+}
+
 // A fleet of hundreds of machines and thousands of tasks: what is asked of the store and the cloud
 // follows the work and not its square. No time is measured.
 TEST(grown, calls_and_writes_follow_the_work) {
