--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -581,24 +581,32 @@
 /// reach it either.
 void term::look_at_zones() {
   const time_point now = runtime_.now();
-  std::map<std::string, std::pair<std::size_t, std::size_t>> zones;  // silent, all
+  struct count {
+    std::size_t all = 0;
+    std::size_t silent = 0;
+    std::size_t deaf = 0;
+  };
+  std::map<std::string, count> zones;
   for (const auto& [name, listed] : fleet_.all()) {
     const auto* at = workers_.find(name);
     const bool up = listed.reports || listed.status == fleet::machine_status::running;
     if (!up || listed.releasing) continue;
     const time_point heard = at != nullptr && at->reported ? at->last_report : time_point{};
-    auto& [quiet, all] = zones[listed.where.zone];
-    ++all;
-    // Many machines that don't hear us are our own trouble as much as many that are silent.
-    const bool deaf = at != nullptr && at->deaf_since.has_value();
-    if (deaf || now - std::max({heard, listed.running_since, started_}) > silence() / 2) ++quiet;
+    auto& zone = zones[listed.where.zone];
+    ++zone.all;
+    if (now - std::max({heard, listed.running_since, started_}) > silence() / 2) ++zone.silent;
+    if (at != nullptr && at->deaf_since) ++zone.deaf;
   }
-  for (const auto& [zone, count] : zones) {
-    const auto& [quiet, all] = count;
-    const bool cut = quiet >= least_cut_off && quiet * 2 >= all;
-    if (cut && !cut_off(zone))
-      spdlog::info("zone is cut off zone={} silent={} of={}", zone, quiet, all);
-    if (cut) cut_seen_[zone] = now;
+  const auto many = [](std::size_t of_them, std::size_t all) {
+    return of_them >= least_cut_off && of_them * 2 >= all;
+  };
+  deaf_zones_.clear();
+  for (const auto& [zone, found] : zones) {
+    if (many(found.deaf, found.all)) deaf_zones_.insert(zone);
+    if (!many(found.silent, found.all)) continue;
+    if (!cut_off(zone))
+      spdlog::info("zone is cut off zone={} silent={} of={}", zone, found.silent, found.all);
+    cut_seen_[zone] = now;
   }
   // Where a deputy acts, its workers hear it and not us.
   for (const auto& zone : deputy_zones_) cut_seen_[zone] = now;
@@ -638,8 +646,9 @@
       fleet_.release(name, "silent");
       continue;
     }
-    if (at.deaf_since &&
-        now - *at.deaf_since > silence() + deaf_patience + allowance(at.where.zone)) {
+    // Many machines that don't hear us are our own trouble as much as theirs.
+    if (at.deaf_since && now - *at.deaf_since > silence() + deaf_patience &&
+        deaf_zones_.count(at.where.zone) == 0) {
       fleet_.release(name, "answers don't reach it");
       continue;
     }
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -95,6 +95,7 @@
   std::uint64_t watch_from_ = 0;
   std::set<std::string> looking_;
   std::set<std::string> expected_;
+  std::set<std::string> deaf_zones_;               // where many machines don't hear us
   std::map<std::string, time_point> cut_seen_;     // when a zone was last found cut off
   std::map<std::string, std::uint64_t> deputies_;  // their records' versions, as last read
   std::set<std::string> deputy_zones_;             // where one acts
