Crowded fronts end connections with their answers; sockets for what waits to be accepted

Above 15/16 of the front's share an answer now ends its connection, so that workers beyond it take turns; calls get three twentieths instead of a fifth. The test failed without the guard.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -34,8 +34,10 @@
 int run(const daemon::platform_settings& platform, const daemon::operator_settings& rules) {
   net::client_limits limits;
   // The front takes the most: every worker of a full fleet keeps a connection open, and so do
-  // users. A fifth is for calls, the rest a reserve.
-  limits.open_total = platform.max_connections / 5;
+  // users. The calls to workers, store and cloud come next; the rest is a reserve for connections
+  // that wait to be accepted or are being closed: without it, a full front and many stops at once
+  // came within sixty of the limit, where the store can't be reached any more.
+  limits.open_total = platform.max_connections * 3 / 20;
   net::uv_runtime runtime(limits);
   admission::policy policy;
   policy.spot_first = rules.pool_order.front() == "spot";
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -199,7 +199,7 @@
 }
 
 void http_server::write(connection* conn, const response& result) {
-  const bool close_after = result.close || !conn->keep_alive;
+  const bool close_after = result.close || !conn->keep_alive || crowded();
   std::string out = "HTTP/1.1 " + std::to_string(result.status) + " " + reason(result.status) +
                     "\r\nContent-Type: application/json\r\nContent-Length: " +
                     std::to_string(result.body.size()) + "\r\n";
@@ -248,6 +248,11 @@
   }
 }
 
+bool http_server::crowded() const {
+  return static_cast<double>(connections_.size()) >
+         static_cast<double>(limits_.connections) * limits_.crowded;
+}
+
 void http_server::close(connection* conn) {
   if (conn->closing) return;
   conn->closing = true;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -17,10 +17,15 @@
   duration request_deadline = seconds(5);  // from the first byte to the whole request
   duration first_byte = seconds(10);       // a fresh connection must say something
   duration idle = seconds(75);             // between requests of a connection
+  /// From this share of the connections on, each ends with its answer.
+  double crowded = 15.0 / 16;
 };
 
 /// HTTP/1.1 server on the loop. Every connection has a deadline in every state, and the number of
-/// connections is bounded: the longest idle one makes room, else the new one is closed.
+/// connections is bounded: the longest idle one makes room, else the new one is closed. Before that
+/// bound is reached, connections end with their answers: more workers than sockets then take turns,
+/// and nobody is pushed out between a question and its answer, or loses a lease for want of a
+/// socket.
 class http_server {
  public:
   http_server(uv_runtime& runtime, server_limits limits, handler_fn handler);
@@ -41,6 +46,7 @@
   void write(connection* conn, const response& result);
   void close(connection* conn);
   void sweep();
+  bool crowded() const;
 
   uv_runtime& runtime_;
   server_limits limits_;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -140,6 +140,29 @@
   EXPECT_EQ(other.open_calls(), 0U);
 }
 
+// More clients than connections: near the bound a connection ends with its answer, and those that
+// were there before are left alone.
+TEST_F(http, crowded_connections_end_with_their_answers) {
+  const auto keep_open = [&](std::size_t wanted) {
+    std::size_t answered = 0;
+    for (std::size_t i = 0; i < wanted; ++i) {
+      runtime.call(address, {"GET", "/", ""}, seconds(20), [&, wanted](const net::response& got) {
+        answered += got.status == 200;
+        if (answered == wanted) runtime.stop();
+      });
+    }
+    runtime.run();
+  };
+  keep_open(3);
+  ASSERT_EQ(server.open(), 3U) << "of four: not crowded yet";
+  runtime.after(seconds(20), [&] { runtime.stop(); });
+  const raw_client last(runtime, address, "GET /x HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(last.in.rfind("HTTP/1.1 200", 0), 0U) << "it is answered";
+  EXPECT_NE(last.in.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(last.closed);
+  EXPECT_EQ(server.open(), 3U);
+}
+
 TEST_F(http, nobody_answers) {
   net::uv_runtime other({});
   net::response got;
