--- a/src/admission/pass_state.hpp
+++ b/src/admission/pass_state.hpp
@@ -51,6 +51,7 @@
 
   // The race and upgrades.
   void prepare();
+  void note_full();
   void race();
   void try_variant(std::size_t job, const variant& one);
   bool place(job_state& job, const variant& one);
--- a/src/admission/scheduler.cpp
+++ b/src/admission/scheduler.cpp
@@ -23,11 +23,15 @@
   race();
   upgrade();
   demand();
+  note_full();
   variant_book::crowd_map crowded;
   for (const auto& job : jobs_) {
     if (job.left.empty()) continue;
     for (const auto& one : job.set->variants) {
       if (one.tier != 0) continue;
+      // Where machines can still be rented, nobody takes the others' room.
+      const auto full = owner_.full_until_.find({one.where.type, one.where.spot});
+      if (full == owner_.full_until_.end() || world_.now >= full->second) continue;
       const auto [lowest, fresh] =
           crowded.try_emplace({one.where.type, one.where.spot}, job.view->level);
       if (!fresh) lowest->second = std::min(lowest->second, job.view->level);
@@ -37,6 +41,20 @@
   return std::move(out_);
 }
 
+/// A kind of pool can't grow while all of its zones refuse; the cloud is asked again now and then,
+/// and meanwhile it still counts as full.
+void pass_state::note_full() {
+  for (const auto& type : world_.types) {
+    for (const bool spot : {false, true}) {
+      const bool full = !type.zones.empty() &&
+                        std::all_of(type.zones.begin(), type.zones.end(), [&](const auto& zone) {
+                          return world_.refused.count({type.name, zone, spot}) != 0;
+                        });
+      if (full) owner_.full_until_[{type.name, spot}] = world_.now + owner_.rules_.crowded_delay;
+    }
+  }
+}
+
 void pass_state::prepare() {
   used_.resize(world_.teams.size());
   settled_.resize(world_.teams.size());
--- a/src/admission/scheduler.hpp
+++ b/src/admission/scheduler.hpp
@@ -20,6 +20,8 @@
   const policy rules_;
   variant_book book_;
   std::map<std::string, reservation> reserved_;  // machine -> the job it is being cleared for
+  /// Until when a kind of pool (machine type, spot) counts as one that can't grow.
+  std::map<std::pair<std::string, bool>, time_point> full_until_;
 };
 
 }  // namespace gingerdrift::admission
