--- a/src/store/job.hpp
+++ b/src/store/job.hpp
@@ -92,6 +92,7 @@
   time_point not_before{};
   std::uint64_t gang_try = 0;             // of the attempt under way
   bool gang_started = false;              // some member was seen running
+  std::uint32_t waits = 0;                // members of that attempt that waited in vain
   std::uint32_t unit_tasks = least_unit;  // tasks a key holds; stored, for it follows the settings
   /// What a scheduling pass sees of it; empty once anything it shows has changed.
   std::shared_ptr<const admission::job_view> view;
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t most_probes = 20;
 constexpr std::uint32_t broken_machines = 3;
 constexpr std::uint32_t most_backoff_doublings = 5;
+/// How often each member of a gang may wait in vain before the gang tries its luck elsewhere.
+constexpr std::uint32_t most_waits = 4;
 }  // namespace
 
 registry::registry(net::runtime& runtime, store::job_book& book, options how, std::uint64_t token,
@@ -248,6 +250,11 @@
 void registry::listed(worker& from, job& one, std::uint32_t task, const reported_task& said) {
   auto& entry = one.attempts.at(task);
   if (!entry.seen || entry.phase != said.phase) one.view.reset();
+  // Such an exit may be the one before this very attempt: a member that waited in vain is started
+  // again under its number. Only who has heard us in this term surely speaks of the present one.
+  if (said.phase == attempt_phase::exited && said.cause == exit_cause::alone &&
+      from.token != token_)
+    return;
   entry.seen = true;
   if (said.phase == attempt_phase::exited) {
     exited(from, one, task, said.cause);
@@ -280,7 +287,10 @@
   one.attempts.erase(task);
   book_.mark(one, task, false);
   from.exits[{one.spec.id, task, number}] = one.units[one.unit_of(task)].mutation;
-  after_loss(one, false);
+  // The others may be fetching still: to stop them would lose their fetches, and where an image
+  // takes longer than a member may wait, a gang that began anew each time once never began at all.
+  const bool again = cause == exit_cause::alone && ++one.waits < most_waits * one.spec.tasks;
+  after_loss(one, again);
 }
 
 void registry::drop_attempt(worker& at, const job& one, std::uint32_t task) {
@@ -323,12 +333,13 @@
   after_loss(one, true);
 }
 
-void registry::after_loss(job& one, bool machine_lost) {
+void registry::after_loss(job& one, bool replaceable) {
   events_.changed();
   if (one.attempts.empty()) {
     one.view.reset();
     one.gang_started = false;
     one.gang_try = 0;
+    one.waits = 0;
     if (one.status != job_status::active) book_.retire(one);
     return;
   }
@@ -337,7 +348,7 @@
   // started, or whose member ended by itself, goes on from its checkpoint as a new attempt.
   bool leaving = false;
   for (const auto& [task, entry] : one.attempts) leaving = leaving || entry.stopping;
-  if (leaving || (machine_lost && !one.gang_started)) return;
+  if (leaving || (replaceable && !one.gang_started)) return;
   stop_all(one, duration::zero());
 }
 
--- a/src/workers/registry.hpp
+++ b/src/workers/registry.hpp
@@ -97,7 +97,7 @@
   void drop_attempt(worker& at, const store::job& one, std::uint32_t task);
   void lose(store::job& one, std::uint32_t task, const char* proof);
   void finish_task(store::job& one, std::uint32_t task);
-  void after_loss(store::job& one, bool machine_lost);
+  void after_loss(store::job& one, bool replaceable);
   void note_error(worker& at, store::job& one);
   void note_image(worker& at, const store::job& one);
   void suspect(worker& one, const char* sign);
--- a/tests/added_rules_test.cpp
+++ b/tests/added_rules_test.cpp
@@ -158,6 +158,22 @@
   EXPECT_EQ(service.rules_broken(), "");
 }
 
+// An image that takes longer than a member of a gang may wait for the others: the first members
+// give up, are started again, and the rest go on fetching. Controllers change meanwhile.
+TEST_P(added, a_gang_begins_though_its_image_takes_longer_than_members_wait) {
+  sim_service service(GetParam(), 3);
+  auto& net = service.net;
+  sim_job gang = gang_of("run-1", 4, 20);
+  gang.fetch_s = 50;  // 25 s to 75 s, and members wait for 15 s
+  net.copy_late("/v1/report", 0.2, seconds(25));
+  net.after(seconds(1), [&] { service.site.submit(gang); });
+  net.after(seconds(45), [&] { service.crash_for(*service.leader(), milliseconds(300)); });
+  net.run_for(seconds(200));
+  EXPECT_TRUE(service.run_until_over(seconds(60)));
+  EXPECT_EQ(service.site.count("done"), 1U);
+  EXPECT_EQ(service.rules_broken(), "");
+}
+
 // A zone is cut off from everything, for many leases, and its machines are back one half after the
 // other. They are all kept, none is rented there meanwhile, and a successor that has never heard
 // them knows no less.
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -183,6 +183,18 @@
   EXPECT_FALSE(registry.takes_tasks(*registry.find("m")));
 }
 
+TEST_F(proofs, waiting_in_vain_counts_only_under_our_token) {
+  // The member may have been started again under its number since.
+  auto with = report(3, 5, our_token - 1);
+  with.tasks = {task(attempt_phase::exited, exit_cause::alone)};
+  EXPECT_EQ(registry.handle(with).find("reap"), std::string::npos);
+  EXPECT_TRUE(held());
+  with = report(3, 6, our_token);
+  with.tasks = {task(attempt_phase::exited, exit_cause::alone)};
+  registry.handle(with);
+  EXPECT_FALSE(held());
+}
+
 TEST_F(proofs, a_machine_rented_in_this_term_is_used_from_its_first_report_on) {
   rented_now = true;
   registry.handle(report(3, 1, 0));
--- a/tests/support/stand_ins.cpp
+++ b/tests/support/stand_ins.cpp
@@ -326,7 +326,10 @@
       task fresh;
       fresh.number = attempt;
       fresh.state = "pulling";
-      fresh.ready = now() + from_seconds(site_.net.uniform(0.2, 2.0));
+      const double fetch = site_.jobs.at(job).fetch_s;
+      fresh.ready =
+          now() + from_seconds(fetch > 0 && !has_image(job) ? fetch * site_.net.uniform(0.5, 1.5)
+                                                            : site_.net.uniform(0.2, 2.0));
       tasks[{job, number}] = fresh;
     } else if (found == tasks.end() || found->second.number != attempt) {
       continue;
@@ -372,6 +375,7 @@
         exit_task(key.first, key.second, "done");
         continue;
       }
+      images_.insert(key.first);
       one.state = spec.gang ? "waiting" : "running";
       one.started = now();
       site_.started(*this, key.first, key.second);
--- a/tests/support/stand_ins.hpp
+++ b/tests/support/stand_ins.hpp
@@ -81,6 +81,7 @@
   double run_s = 10;
   double checkpoint_s = 5;
   double save_s = 1;
+  double fetch_s = 0;  // of its image, half as long or half as long again; 0: hardly any
   bool one_zone = false;
   bool spread = false;
   bool spot = false;
@@ -112,6 +113,7 @@
   void boot();
   void vanish();  // taken away, or released
   std::uint64_t session() const { return session_; }
+  bool has_image(const std::string& job) const { return images_.count(job) != 0; }
   void hang(duration span) { hung_until_ = span + now(); }
 
   struct task {
@@ -151,6 +153,7 @@
   std::uint64_t token_ = 0;
   time_point lease_from_{};
   time_point hung_until_{};
+  std::set<std::string> images_;  // of jobs whose image takes long
   std::size_t target_ = 0;
   bool in_flight_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
