Records leave a little of the leader's write budget to submissions

Excluded: the other controllers (none), the waiting buffer. Why a request is told to come back is now in the debug log.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -36,6 +36,7 @@
 front::~front() { *alive_ = false; }
 
 void front::later(const net::reply_fn& reply, const char* why) {
+  spdlog::debug("told to come back later why=\"{}\"", why);
   // The connection ends with it, so that the next try may reach another controller.
   reply({503, write_error(why), retry_after, true});
 }
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -8,6 +8,10 @@
 
 constexpr auto request_deadline = milliseconds(1500);
 constexpr auto list_deadline = milliseconds(4000);
+/// Of the write budget, what records leave: a busy leader's would otherwise take every write as it
+/// falls free, and who submits a job there would be told to come back.
+constexpr double submission_share = 0.1;
+constexpr double most_for_submissions = 3;
 
 entry read_entry(const json& item) {
   return {item.at("k").get<std::string>(), item.at("data"), item.at("stamp").get<std::uint64_t>()};
@@ -69,7 +73,10 @@
 
 void client::set_write_rate(double per_second) { writes_.set_rate(runtime_.now(), per_second); }
 
-double client::writes_available() { return writes_.available(runtime_.now()); }
+double client::writes_for_records() {
+  return writes_.available(runtime_.now()) -
+         std::min(most_for_submissions, writes_.rate() * submission_share);
+}
 
 void client::send(const std::string& method, const std::string& target, std::string body,
                   duration deadline, double writes, result_fn done) {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -64,7 +64,8 @@
   void drop(std::uint64_t lease, result_fn done);
   void watch(const std::string& prefix, std::uint64_t from, duration wait, result_fn done);
 
-  double writes_available();
+  /// What the leader's records may take now; a little is left for submissions.
+  double writes_for_records();
   /// The leader does most of the writing.
   void set_write_rate(double per_second);
   /// Last time anything but silence or 503 came back.
--- a/src/store/job_book.cpp
+++ b/src/store/job_book.cpp
@@ -174,7 +174,7 @@
     schedule(retry_delay);
     return;
   }
-  const double budget = std::min<double>(txn_ops_, store_.writes_available());
+  const double budget = std::min<double>(txn_ops_, store_.writes_for_records());
   std::vector<condition> conditions = {leader_};
   std::vector<operation> operations;
   std::vector<piece> pieces;
--- a/src/store/rate_budget.hpp
+++ b/src/store/rate_budget.hpp
@@ -20,6 +20,7 @@
     refill(now);
     return tokens_;
   }
+  double rate() const { return rate_; }
   void set_rate(time_point now, double per_second) {
     refill(now);
     rate_ = per_second;
