--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -22,6 +22,11 @@
 constexpr duration longest_pause = seconds(1);
 /// A machine costs at least this much time, so it is not returned before.
 constexpr auto least_paid = seconds(60);
+/// Idle machines beyond this share of their pool, and beyond so many, go after this part of the
+/// time.
+constexpr std::size_t idle_share = 20;
+constexpr std::size_t least_idle = 4;
+constexpr double early_return = 0.4;
 constexpr duration longest_kept = milliseconds(400);
 constexpr auto drain_slack = seconds(4);
 /// So many machines of a zone, and at least half of them, silent at once: the zone is cut off.
@@ -629,6 +634,7 @@
 
 void term::return_machines() {
   const time_point now = runtime_.now();
+  std::map<admission::pool, idle_machines> idle;
   for (auto& [name, at] : workers_.all()) {
     if (fleet_.releasing(name)) continue;
     if (!at.reported) {
@@ -659,10 +665,28 @@
       fleet_.release(name, "sick");
       continue;
     }
-    if (expected_.count(name) != 0 || now - at.idle_since < rules_.idle_return) continue;
+    if (expected_.count(name) != 0) continue;
+    idle[at.where].emplace_back(at.idle_since, name);
+  }
+  for (const auto& [where, found] : idle) return_idle(where, found);
+}
+
+/// Machines that are idle for long go back, the longest idle first; a large pool falls idle and
+/// busy again by many machines at once, and needs only a part of them for its next jobs.
+void term::return_idle(const admission::pool& where, idle_machines found) {
+  const time_point now = runtime_.now();
+  std::size_t all = 0;
+  for (const auto& [name, listed] : fleet_.all()) all += listed.where == where;
+  const std::size_t kept = std::max(least_idle, all / idle_share);
+  std::sort(found.begin(), found.end());
+  std::size_t left = found.size();
+  for (const auto& [since, name] : found) {
+    const bool early = left > kept && now - since >= rules_.idle_return * early_return;
+    if (!early && now - since < rules_.idle_return) break;
     const auto known = fleet_.all().find(name);
     if (known != fleet_.all().end() && now - known->second.rented < least_paid) continue;
     fleet_.release(name, "idle");
+    --left;
   }
 }
 
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -67,6 +67,8 @@
   bool cut_off(const std::string& zone) const;
   duration allowance(const std::string& zone) const;
   void return_machines();
+  using idle_machines = std::vector<std::pair<time_point, std::string>>;  // since when
+  void return_idle(const admission::pool& where, idle_machines found);
   void look_for_deputies();
 
   /// A report that freed places: its answer waits for the pass that fills them.
--- a/tests/added_rules_test.cpp
+++ b/tests/added_rules_test.cpp
@@ -248,4 +248,31 @@
   EXPECT_LT(static_cast<double>(service.site.cloud_calls), minutes * 60 * 4);
 }
 
+// A large pool falls idle: all but a few of its machines go back soon, those few a while later.
+TEST(grown, most_of_a_large_pool_that_fell_idle_is_returned_soon) {
+  site_shape shape;
+  shape.teams = 40;
+  sim_service service(12, 3, shape);
+  auto& net = service.net;
+  service.site.capacity = 40;
+  for (int i = 0; i < 6; ++i) {
+    sim_job job = array_of("run-" + std::to_string(i), 80, 70);
+    net.after(seconds(1), [&service, job] { service.site.submit(job); });
+  }
+  const auto held = [&] {
+    std::size_t sum = 0;
+    for (const auto& [name, one] : service.site.machines) sum += !one->gone;
+    return sum;
+  };
+  net.run_for(seconds(60));
+  EXPECT_GE(held(), 60U);
+  ASSERT_TRUE(service.run_until_over(seconds(200)));
+  net.run_for(seconds(16));
+  EXPECT_LE(held(), 8U) << "four of each pool";
+  EXPECT_GE(held(), 4U);
+  net.run_for(seconds(25));
+  EXPECT_EQ(held(), 0U);
+  EXPECT_EQ(service.rules_broken(), "");
+}
+
 }  // namespace gingerdrift::testing
