--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -264,6 +264,8 @@
   if (said.phase == attempt_phase::running && entry.phase != attempt_phase::running) {
     entry.running_since = runtime_.now();
     one.gang_started = true;
+    spdlog::debug("runs job={} task={} try={} machine={} term={}", one.spec.id, task, entry.number,
+                  from.name, token_);
   }
   entry.phase = said.phase;
 }
