--- a/tests/added_rules_test.cpp
+++ b/tests/added_rules_test.cpp
@@ -248,6 +248,50 @@
   EXPECT_LT(static_cast<double>(service.site.cloud_calls), minutes * 60 * 4);
 }
 
+// Half again as many machines as the largest deployment named: the leader ends, a tenth of the
+// machines is lost at once, and what is asked of store and cloud is bounded all the same.
+TEST(grown, a_takeover_and_a_mass_loss_among_two_thousand_machines) {
+  site_shape shape;
+  shape.report_s = 6;
+  shape.lease_s = 31;
+  shape.cancel_s = 51;
+  shape.teams = 2000;
+  shape.pass_s = 0.5;  // about what a pass over so many machines is spaced by
+  sim_service service(13, 5, shape);
+  auto& net = service.net;
+  service.site.capacity = 525;  // of each zone and kind: 2100 machines
+  std::size_t tasks = 0;
+  for (int i = 0; i < 160; ++i) {
+    sim_job job = array_of("run-" + std::to_string(1000 + i), 100, net.uniform(50, 70));
+    if (i % 20 == 0) job = gang_of("run-" + std::to_string(1000 + i), 4, 60);
+    tasks += job.tasks;
+    net.after(from_seconds(net.uniform(1, 20)), [&service, job] { service.site.submit(job); });
+  }
+  std::size_t up = 0;
+  net.after(seconds(75), [&] {
+    for (const auto& [name, one] : service.site.machines) up += one->up;
+    service.crash_for(*service.leader(), milliseconds(300));
+  });
+  net.after(seconds(80), [&] {
+    ASSERT_TRUE(service.leader().has_value());
+    std::size_t lost = 0;
+    for (auto& [name, one] : service.site.machines) {
+      if (!one->up || ++lost % 10 != 0) continue;
+      one->vanish();
+    }
+  });
+  net.run_for(seconds(81));
+  EXPECT_GT(up, 1500U);
+  ASSERT_TRUE(service.run_until_over(seconds(400)));
+  EXPECT_EQ(service.rules_broken(), "");
+  EXPECT_EQ(service.site.count("done"), 160U);
+  EXPECT_LT(service.site.starts, tasks * 5 / 4) << "only what was lost is started again";
+  EXPECT_LT(service.state.writes_taken(), tasks);
+  EXPECT_LE(service.state.biggest_value(), 8U << 10);
+  EXPECT_LE(service.state.most_operations(), 24U);
+  EXPECT_LT(static_cast<double>(service.site.cloud_calls), net.seconds_now() * 4);
+}
+
 // A large pool falls idle: all but a few of its machines go back soon, those few a while later.
 TEST(grown, most_of_a_large_pool_that_fell_idle_is_returned_soon) {
   site_shape shape;
--- a/tests/support/sim_service.cpp
+++ b/tests/support/sim_service.cpp
@@ -43,7 +43,8 @@
     const std::string peer = "node-" + std::to_string(i);
     if (i != node) own.peers.push_back({peer, zone_of(i), peer + ":2"});
   }
-  const daemon::operator_settings rules;
+  daemon::operator_settings rules;
+  rules.pass_interval = from_seconds(shape.pass_s);
   mine.runtime = std::make_unique<sim_runtime>(net, own.node);
   mine.plans = std::make_unique<inline_planner>(*mine.runtime, admission::policy{});
   mine.controller =
--- a/tests/support/stand_ins.hpp
+++ b/tests/support/stand_ins.hpp
@@ -98,7 +98,8 @@
   double cancel_s = 14;
   double boot_s = 5;
   double list_lag_s = 2;
-  double teams = 1;  // how many times the usual guarantees and limits
+  double pass_s = 0.1;  // between scheduling passes
+  double teams = 1;     // how many times the usual guarantees and limits
 };
 
 class sim_site;
