A final state counts as stored only once the write that carries it is

Cause: when any change of a job's head was stored, the job's status in memory counted as stored, also when that write had been under way before the status changed. A user was told 'done', the leader lost the store, and its successor said 'running' (went_back). A cancellation could have been confirmed the same way, and forgotten. Excluded: the successor's reading, which was right.

--- a/src/store/job.hpp
+++ b/src/store/job.hpp
@@ -83,11 +83,13 @@
   job_status status = job_status::active;
   std::map<std::uint32_t, attempt> attempts;
   range_set done;
-  std::vector<record_unit> units;  // [0] the head; parts follow for large jobs
-  bool status_stored = false;      // the store knows the final status
-  bool leaving = false;            // only its final record remains to be written
+  std::vector<record_unit> units;   // [0] the head; parts follow for large jobs
+  std::uint64_t status_change = 0;  // the head's change that carries the final status
+  bool status_stored = false;       // the store knows it
+  bool leaving = false;             // only its final record remains to be written
   // Failures of its tasks:
   std::map<std::string, std::uint32_t> errors;  // machine -> count
+  time_point last_error{};
   std::uint32_t error_rounds = 0;
   time_point not_before{};
   std::uint64_t gang_try = 0;             // of the attempt under way
--- a/src/store/job_book.cpp
+++ b/src/store/job_book.cpp
@@ -127,6 +127,8 @@
 void job_book::mark_head(job& one) {
   one.view.reset();
   ++one.units[0].mutation;
+  if (one.status != job_status::active && one.status_change == 0)
+    one.status_change = one.units[0].mutation;
   queue(one.spec.id, 0, true);
 }
 
@@ -294,7 +296,10 @@
     auto& unit = found->units[one.unit];
     unit.version = one.erased ? 0 : revision;
     unit.stored = std::max(unit.stored, one.mutation);
-    if (one.unit == 0 && found->status != job_status::active) found->status_stored = true;
+    // What was written may be older than the status: an earlier change of the head, under way when
+    // the job ended. A user was once told `done` by that, and `running` by a successor.
+    if (one.unit == 0 && found->status_change != 0 && one.mutation >= found->status_change)
+      found->status_stored = true;
     // A large job's head was stored with the final status; its removal comes after its parts'.
     if (one.unit == 0 && found->leaving && !one.final_record) {
       ++unit.mutation;
