A successor never sends an earlier leader's starts again

Cause: a leader that proves a start gone (it was stopped before it was sent, or not taken) gives its room away at once, and stores both changes apart: the new start goes to the start log, the removal follows with the job's record. When it ended in between, its successor found both, took the removed one for not yet sent, and sent it: quota red over its limit. Zones of one-zone and spread arrays could break the same way. Now a successor waits for a report under its own token: what that lacks was never taken and can't be any more, so it is proven gone and placed anew. Costs one report at a takeover. Excluded: counting removals until they are stored, which holds back all room. Two tests of the proofs are changed: one expected the start to be sent again, the very fault; it now expects that nothing is sent and that a report under our token settles it. The other used such a start to show that nothing is started without a lease; it does so with a start of this leader now.

--- a/src/store/job.hpp
+++ b/src/store/job.hpp
@@ -57,6 +57,7 @@
   attempt_phase phase = attempt_phase::placed;
   std::uint64_t mutation = 0;    // stored once its unit has reached this
   bool logged = false;           // the start log has it
+  bool adopted = false;          // found in the store by this term's leader
   bool seen = false;             // listed by its worker at least once
   std::uint64_t sent_after = 0;  // the report whose answer carried its start
   bool stopping = false;
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -39,7 +39,8 @@
 }
 
 void registry::adopt(job& one) {
-  for (const auto& [task, entry] : one.attempts) {
+  for (auto& [task, entry] : one.attempts) {
+    entry.adopted = true;
     auto& at = workers_[entry.machine];
     at.name = entry.machine;
     at.attempts.emplace(one.spec.id, task);
@@ -221,6 +222,13 @@
       if (ours) lose(*one, task, "left the report");
       continue;
     }
+    // An earlier leader's start that the worker does not have: it may have been proven gone, and
+    // its room given away, before that was stored. Started again, it once took a team over its
+    // limit.
+    if (entry.adopted) {
+      if (ours) lose(*one, task, "not started by an earlier leader");
+      continue;
+    }
     // Not listed: the report was sent after the answer that could have started it was dropped, and
     // carrying our token it can't be started by a former leader any more.
     if (entry.stopping || one->status != job_status::active) {
