--- a/tests/leadership_test.cpp
+++ b/tests/leadership_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "support/stand_ins.hpp"
+#include "support/state_service.hpp"
 
 namespace gingerdrift::testing {
 
--- /dev/null
+++ b/tests/meetings_test.cpp
@@ -0,0 +1,23 @@
+// Meetings of troubles: each kept trace is a day in which they met, or could. Played on three and
+// on five controllers, with fixed seeds.
+#include <gtest/gtest.h>
+
+#include "support/kept_traces.hpp"
+#include "support/meeting.hpp"
+
+namespace gingerdrift::testing {
+
+class meetings : public ::testing::TestWithParam<std::string> {};
+INSTANTIATE_TEST_SUITE_P(kept, meetings, ::testing::ValuesIn(kept_traces("meetings")),
+                         [](const auto& one) { return one.param; });
+
+TEST_P(meetings, break_no_rule) {
+  const std::string trace = read_trace("meetings", GetParam());
+  for (const std::size_t nodes : {3, 5}) {
+    for (const std::uint64_t seed : {1, 2, 3}) {
+      EXPECT_EQ(play_meeting(trace, nodes, seed), "") << nodes << " controllers, seed " << seed;
+    }
+  }
+}
+
+}  // namespace gingerdrift::testing
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -2,7 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "store/job_book.hpp"
-#include "support/stand_ins.hpp"
+#include "support/state_service.hpp"
 
 namespace gingerdrift::testing {
 
--- /dev/null
+++ b/tests/support/meeting.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace gingerdrift::testing {
+
+/// Plays a day in which troubles meet (tests/traces/README.md) against the whole service, and
+/// returns what was wrong: rules broken, work not over in time, or a meeting that did not happen.
+std::string play_meeting(const std::string& trace, std::size_t nodes, std::uint64_t seed);
+
+}  // namespace gingerdrift::testing
--- /dev/null
+++ b/tests/support/rule_checks.cpp
@@ -0,0 +1,235 @@
+// The rules of PROTOCOL and the operators' added ones, checked at the stand-ins. Nothing here looks
+// at the service's own state; tests/rule_checks_test.cpp shows each check failing.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "support/sim_site.hpp"
+
+namespace gingerdrift::testing {
+
+namespace {
+constexpr auto unheard_for = seconds(75);
+constexpr auto beside_room_for = seconds(90);
+constexpr auto largest_begin_within = seconds(240);
+/// A worker drops answers after this time; on links that hold nothing they take milliseconds.
+constexpr auto answer_under_way = seconds(4);
+constexpr auto answer_unheld = milliseconds(20);
+}  // namespace
+
+void sim_site::complain(const std::string& rule) {
+  if (std::find(broken.begin(), broken.end(), rule) != broken.end()) return;
+  spdlog::error("rule broken at_s={:.3f}: {}", net.seconds_now(), rule);
+  broken.push_back(rule);
+}
+
+void sim_site::started(sim_machine& on, const std::string& job, std::uint32_t task) {
+  ++starts;
+  began.emplace(job, net.now());
+  const auto& spec = jobs.at(job);
+  std::size_t in_zone = 0;
+  for (const auto& [name, one] : machines) {
+    for (const auto& [key, other] : one->tasks) {
+      if (key.first != job || !other.on_machine()) continue;
+      if (key.second == task && one.get() != &on) complain("ran_twice " + job);
+      if (spec.one_zone && one->zone != on.zone) complain("wrong_place: zone " + job);
+      in_zone += one->zone == on.zone;
+    }
+  }
+  if (spec.spread && in_zone > (spec.tasks + 1) / 2) complain("wrong_place: spread " + job);
+  if (on.spot && !spec.spot) complain("wrong_place: spot " + job);
+  if (!spec.zone.empty() && on.zone != spec.zone) complain("wrong_place: yard " + job);
+  check_quota();
+}
+
+/// Once a user was told that a job is cancelled, only starts that were under way may arrive.
+void sim_site::run_taken(const std::string& job) {
+  const auto told_at = cancelled_at_.find(job);
+  if (told_at == cancelled_at_.end()) return;
+  const duration late = net.now() - told_at->second;
+  if (late > (net.held ? duration(answer_under_way) : duration(answer_unheld)))
+    complain("start after its cancellation " + job);
+}
+
+void sim_site::task_done(const std::string& job, std::uint32_t task, std::uint64_t token) {
+  const auto& spec = jobs.at(job);
+  auto& finished = done[job];
+  const bool was_over = finished.size() == spec.tasks;
+  finished.insert(task);
+  auto& under = done_under_[job];
+  if (under.insert(token).second && under.size() == 2) ++facts["ends_under_two_leaders"];
+  if (was_over || finished.size() < spec.tasks) return;
+  if (net.now() >= end_until_ || net.uniform(0, 1) >= end_share_) return;
+  // The job is over at this very moment, and nobody but its machine knows.
+  ++facts["met_the_end"];
+  withdraw(job);
+  send_submit(job);
+}
+
+double sim_site::used_by(const std::string& team) const {
+  double sum = 0;
+  for (const auto& [name, one] : machines) {
+    for (const auto& [key, other] : one->tasks) {
+      const auto& spec = jobs.at(key.first);
+      if (other.on_machine() && spec.team == team) sum += spec.gpus;
+    }
+  }
+  return sum;
+}
+
+void sim_site::check_quota() {
+  for (const auto& [team, limit] : limits) {
+    const double used = used_by(team);
+    if (used > limit + 1e-9) {
+      for (const auto& [name, one] : machines) {
+        for (const auto& [key, task] : one->tasks) {
+          if (task.on_machine() && jobs.at(key.first).team == team)
+            spdlog::debug("holds {} {}/{} {} hung={} mute={}", name, key.first, key.second,
+                          task.state, one->hung(), net.is_mute(name));
+        }
+      }
+      complain("quota " + team);
+    }
+    if (used > limit - 1e-9) ++facts["at_limit"];
+  }
+}
+
+/// Hung machines count: what is on them may go on at any moment of their lease.
+void sim_site::check_cancelled() {
+  for (const auto& [id, when] : cancelled_at_) {
+    if (net.now() - when <= from_seconds(shape.cancel_s)) continue;
+    for (const auto& [name, one] : machines) {
+      for (const auto& [key, other] : one->tasks) {
+        if (key.first == id && other.on_machine()) complain("ran_cancelled " + id);
+      }
+    }
+  }
+}
+
+/// An answer is older than another only if it was asked for after the other had come: of two
+/// questions under way at once, either may be answered first.
+void sim_site::hear(const std::string& id, const std::string& state, time_point asked) {
+  auto& last = told[id];
+  if (final_at_.count(id) != 0 && asked < final_at_.at(id) && state != "done" &&
+      state != "cancelled")
+    return;
+  if (state == "done" || state == "cancelled") final_at_.emplace(id, net.now());
+  if ((last == "done" || last == "cancelled") && state != last)
+    complain("went_back " + id + " " + last + " -> " + state);
+  const auto& spec = jobs.at(id);
+  // Members of a gang are done together: one of them says it for all.
+  if (state == "done" && done[id].size() < (spec.gang ? 1 : spec.tasks)) complain("not_done " + id);
+  if (state == "cancelled" && withdrawn_.count(id) == 0)
+    complain("went_back " + id + " cancelled by nobody");
+  if (state == "cancelled" && cancelled_at_.emplace(id, net.now()).second) {
+    ++facts["cancelled"];
+    bool live = false;
+    bool hung = false;
+    for (const auto& [name, one] : machines) {
+      for (const auto& [key, task] : one->tasks) {
+        if (key.first != id || task.state == "ended") continue;
+        live = true;
+        hung = hung || one->hung();
+      }
+    }
+    facts["cancelled_live"] += live;
+    facts["cancelled_hung"] += hung;
+  }
+  last = state;
+}
+
+void sim_site::calm() {
+  calm_from_ = net.now();
+  check_waiting();
+}
+
+/// A machine that fits has room, and the team is under its limit: for all of a gang, for one task
+/// of an array.
+bool sim_site::could_start(const std::string& id) const {
+  const auto& spec = jobs.at(id);
+  std::set<std::uint32_t> placed;
+  std::string zone_held;
+  const auto finished = done.find(id);
+  if (finished != done.end()) placed = finished->second;
+  for (const auto& [name, one] : machines) {
+    for (const auto& [key, task] : one->tasks) {
+      if (key.first != id) continue;
+      placed.insert(key.second);
+      zone_held = one->zone;
+    }
+  }
+  if (placed.size() >= spec.tasks) return false;
+  // What is part of the way there is no longer left waiting.
+  if (spec.gang && !placed.empty()) return false;
+  const std::size_t wanted = spec.gang ? spec.tasks : 1;
+  double planned = static_cast<double>(wanted) * spec.gpus;
+  for (const auto& [name, one] : machines) {
+    for (const auto& [key, task] : one->tasks) {
+      if (task.state != "ended" && jobs.at(key.first).team == spec.team)
+        planned += jobs.at(key.first).gpus;
+    }
+  }
+  if (planned > limits.at(spec.team) + 1e-9) return false;
+  std::map<std::string, std::size_t> room;
+  for (const auto& [name, one] : machines) {
+    if (!one->up || one->gone || one->hung() || one->sick || one->notice) continue;
+    if (one->spot && !spec.spot) continue;
+    if (!spec.zone.empty() && one->zone != spec.zone) continue;
+    if (spec.one_zone && !zone_held.empty() && one->zone != zone_held) continue;
+    if (spec.spread && !zone_held.empty() && one->zone == zone_held) continue;
+    double free = gpus_of_a_machine;
+    for (const auto& [key, task] : one->tasks) {
+      if (task.state != "ended") free -= jobs.at(key.first).gpus;
+    }
+    const auto fit = static_cast<std::size_t>(std::max(0.0, free + 1e-9) / spec.gpus);
+    room[spec.one_zone ? one->zone : std::string()] += fit;
+  }
+  return std::any_of(room.begin(), room.end(),
+                     [&](const auto& item) { return item.second >= wanted; });
+}
+
+void sim_site::check_waiting() {
+  net.after(seconds(1), [this] { check_waiting(); });
+  const time_point now = net.now();
+  for (const auto& [id, last] : told) {
+    if (last == "done" || last == "cancelled" || withdrawn_.count(id) != 0) {
+      beside_room_.erase(id);
+      continue;
+    }
+    const time_point heard = answered.count(id) != 0 ? answered.at(id) : time_point{};
+    if (now - std::max(heard, *calm_from_) > unheard_for) complain("forgotten: no answer " + id);
+    if (!could_start(id)) {
+      beside_room_.erase(id);
+    } else if (now - beside_room_.emplace(id, now).first->second > beside_room_for) {
+      complain("waits beside room " + id);
+    }
+  }
+}
+
+void sim_site::check_served() {
+  struct count {
+    std::size_t all = 0;
+    std::size_t begun = 0;
+  };
+  std::map<std::string, count> groups;
+  std::map<bool, std::uint32_t> largest;
+  for (const auto& [id, job] : jobs) largest[job.gang] = std::max(largest[job.gang], job.tasks);
+  for (const auto& [id, job] : jobs) {
+    if (withdrawn_.count(id) != 0 || job.fails) continue;
+    const std::string shape_name = job.gang ? "gangs" : "arrays";
+    const bool begun = began.count(id) != 0;
+    for (const auto& name : {"team " + job.team, shape_name}) {
+      ++groups[name].all;
+      groups[name].begun += begun;
+    }
+    if (job.tasks != largest[job.gang]) continue;
+    auto& most = groups["largest " + shape_name];
+    ++most.all;
+    most.begun += begun && began.at(id) - submitted.at(id) <= largest_begin_within;
+  }
+  for (const auto& [name, found] : groups) {
+    if (found.begun * 2 < found.all) complain("served: under half of " + name);
+  }
+}
+
+}  // namespace gingerdrift::testing
--- a/tests/support/sim_service.hpp
+++ b/tests/support/sim_service.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "daemon/controller.hpp"
-#include "support/stand_ins.hpp"
+#include "support/sim_site.hpp"
 
 namespace gingerdrift::testing {
 
--- /dev/null
+++ b/tests/support/state_service.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "store/rate_budget.hpp"
+#include "support/sim_net.hpp"
+
+namespace gingerdrift::testing {
+
+using json = nlohmann::json;
+
+/// The state service as PROTOCOL describes it.
+class state_service {
+ public:
+  state_service(sim_net& net, std::string address);
+  void handle(const net::request& message, const net::reply_fn& reply);
+  /// Everybody gets 503 until then; leases have their full time again afterwards.
+  void outage(duration span);
+  std::size_t keys() const { return entries_.size(); }
+  std::size_t biggest_value() const { return biggest_; }
+  std::size_t most_operations() const { return most_operations_; }
+  /// Above these, everybody gets 429; bursts of one second's worth.
+  void limit(double requests, double writes) {
+    requests_ = store::rate_budget(requests);
+    writes_ = store::rate_budget(writes);
+  }
+  std::size_t writes_taken() const { return writes_taken_; }
+  /// Each answer takes so much longer until then.
+  void slow(duration more, duration span) {
+    slower_ = more;
+    slow_until_ = net_.now() + span;
+  }
+  /// This share of transactions gets no answer and is carried out 2 s to 12 s later.
+  void write_late(double share, duration span) {
+    late_share_ = share;
+    late_until_ = net_.now() + span;
+  }
+  std::size_t late_writes() const { return late_writes_; }    // carried out late
+  std::size_t late_refused() const { return late_refused_; }  // of them, by their conditions
+  const json* peek(const std::string& key) const;
+
+ private:
+  struct entry {
+    json value;
+    std::uint64_t version;
+    std::uint64_t lease;
+  };
+  struct lease_state {
+    duration ttl;
+    time_point until;
+  };
+  struct watcher {
+    std::string prefix;
+    std::uint64_t from;
+    net::reply_fn reply;
+    std::uint64_t id;
+  };
+  bool down() const { return net_.now() < down_until_; }
+  void expire();
+  void change(const std::string& key, const json* value, std::uint64_t lease);
+  void notify();
+  json changes(const std::string& prefix, std::uint64_t from) const;
+  void carry_out(const net::request& message, const net::reply_fn& reply);
+  void txn(const json& body, const net::reply_fn& reply);
+
+  sim_net& net_;
+  std::map<std::string, entry> entries_;
+  std::map<std::uint64_t, lease_state> leases_;
+  std::vector<std::tuple<std::uint64_t, std::string, json>> log_;  // null: deleted
+  std::vector<watcher> watchers_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t next_lease_ = 1;
+  std::uint64_t next_watch_ = 1;
+  time_point down_until_{};
+  std::size_t biggest_ = 0;
+  std::size_t most_operations_ = 0;
+  std::size_t writes_taken_ = 0;
+  duration slower_{};
+  time_point slow_until_{};
+  double late_share_ = 0;
+  time_point late_until_{};
+  std::size_t late_writes_ = 0;
+  std::size_t late_refused_ = 0;
+  store::rate_budget requests_{1e9};
+  store::rate_budget writes_{1e9};
+};
+
+}  // namespace gingerdrift::testing
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -6,7 +6,7 @@
 #include "fleet/wire.hpp"
 #include "front/wire.hpp"
 #include "mesh/codec.hpp"
-#include "support/stand_ins.hpp"
+#include "support/sim_site.hpp"
 #include "workers/wire.hpp"
 
 namespace gingerdrift::testing {
