Leases are renewed only by who knows of every cancellation that could outlast them

Cause: a successor answered workers with tasks before it had read any record, and went on so after it had lost the store, for a grace counted from its own lease. Now their reports wait a second for the records, then the worker is sent on. The whole argument is in docs/design.md, Who renews a lease. Also by it: a deputy's readings are no older than what a cancellation has beyond a lease; that margin allows for drift of long leases; where a lease outlasts cancel_s the confirmation waits until the tasks are gone, by no controller told before. With these: a job that fails everywhere is tried once a minute, a machine it failed on is avoided for 45 s only, a watch that fell behind reads new jobs alone, and an answer of a peer counts from when it was asked for, as it may have lain there while the process stood still. Excluded: longer margins; any one of them is outlasted by one more successor.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -66,11 +66,11 @@
   };
   users.types = [this]() -> const std::vector<admission::machine_type>& { return types_; };
   users.status = [this] { return status(); };
-  front_ =
-      std::make_unique<front::front>(runtime_, store_,
-                                     front::options{rules_.waiting_submissions, rules_.final_cache,
-                                                    store::unit_tasks_for(platform_.value_kb)},
-                                     platform_.teams, std::move(users));
+  front_ = std::make_unique<front::front>(
+      runtime_, store_,
+      front::options{rules_.waiting_submissions, rules_.final_cache,
+                     store::unit_tasks_for(platform_.value_kb), confirms_when_gone(platform_)},
+      platform_.teams, std::move(users));
 
   std::map<std::string, std::string> peers;
   for (const auto& one : platform_.peers) peers[one.node] = one.address;
@@ -127,7 +127,7 @@
     return std::string();
   };
   deputy_ = std::make_unique<workers::deputy>(runtime_, store_, platform_.node, platform_.zone,
-                                              std::move(zone));
+                                              keeper_grace(platform_), std::move(zone));
 }
 
 controller::~controller() {
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -28,6 +28,11 @@
 constexpr std::size_t least_idle = 4;
 constexpr double early_return = 0.4;
 constexpr duration longest_kept = milliseconds(400);
+/// How long a report may wait for the records to be read.
+constexpr duration longest_early = seconds(1);
+/// Steady clocks drift apart by 0.05% at most; the rest is for answers under way.
+constexpr double drift = 0.001;
+constexpr duration cancel_margin = seconds(3);
 constexpr auto drain_slack = seconds(4);
 /// So many machines of a zone, and at least half of them, silent at once: the zone is cut off.
 constexpr std::size_t least_cut_off = 3;
@@ -54,8 +59,14 @@
 }  // namespace
 
 duration keeper_grace(const platform_settings& platform) {
-  // Between the end of its lease and a cancellation by its successor running out.
-  return std::max<duration>(duration::zero(), platform.cancel - platform.worker_lease - seconds(3));
+  // What a cancellation has, less the lease that an answer renews.
+  const duration lease = from_seconds(to_seconds(platform.worker_lease) * (1 + drift));
+  return std::max<duration>(duration::zero(), platform.cancel - lease - cancel_margin);
+}
+
+bool confirms_when_gone(const platform_settings& platform) {
+  return platform.cancel <
+         from_seconds(to_seconds(platform.worker_lease) * (1 + drift)) + cancel_margin;
 }
 
 term::term(net::runtime& runtime, store::client& store, const platform_settings& platform,
@@ -107,7 +118,9 @@
 
 term::~term() {
   *alive_ = false;
-  for (auto& one : kept_) one.answer({});
+  for (auto* list : {&kept_, &early_}) {
+    for (auto& one : *list) one.answer({});
+  }
   runtime_.cancel(pass_timer_);
   runtime_.cancel(tick_timer_);
 }
@@ -132,6 +145,11 @@
     for (const auto& entry : page.entries) take_in(entry);
     if (page.more && !page.entries.empty()) {
       load(prefix, page.entries.back().key);
+    } else if (!loading_) {
+      // The watch had fallen behind: only new jobs are missing. Parts and the start log are ours
+      // by now, and reading them again would bring attempts back that are over.
+      follow();
+      changed();
     } else if (prefix == store::head_prefix) {
       load(store::part_prefix, "");
     } else if (prefix == store::part_prefix) {
@@ -188,6 +206,7 @@
   fleet_.start();
   spdlog::info("term={} is ready jobs={} after_ms={}", token_, book_.all().size(),
                std::chrono::duration_cast<milliseconds>(runtime_.now() - started_).count());
+  answer_early(false);
   follow();
   changed();
 }
@@ -237,6 +256,19 @@
   last_report_ = runtime_.now();
   if (fleet_.departed(said.machine)) return answer(workers::write_commands(token_, {}));
   if (!fleet_.releasing(said.machine)) fleet_.heard(said.machine, said.where);
+  // An answer renews the lease of everything the worker has. Who has not read the records yet
+  // knows of no cancellation: an answer would let cancelled tasks go on, by chains of successors
+  // that each lose the store while reading for as long as the chain is (docs/design.md).
+  const auto live = [](const workers::reported_task& one) {
+    return one.phase != attempt_phase::exited;
+  };
+  if (!ready_ && std::any_of(said.tasks.begin(), said.tasks.end(), live)) {
+    early_.push_back({std::move(said), std::move(answer), runtime_.now() + longest_early});
+    runtime_.after(longest_early, [this, alive = alive_] {
+      if (*alive) answer_early(true);
+    });
+    return;
+  }
   const auto* before = workers_.find(said.machine);
   const std::size_t held = before == nullptr ? 0 : before->attempts.size();
   std::string out = workers_.handle(said);
@@ -251,6 +283,20 @@
   });
 }
 
+/// Reports that came before the records were read: taken once they are, sent on after a while.
+void term::answer_early(bool over) {
+  auto waiting = std::exchange(early_, {});
+  for (auto& one : waiting) {
+    if (ready_) {
+      report(std::move(one.said), std::move(one.answer));
+    } else if (over && runtime_.now() >= one.until) {
+      one.answer({});
+    } else {
+      early_.push_back(std::move(one));
+    }
+  }
+}
+
 void term::answer_kept() {
   std::vector<kept_report> ready;
   const time_point now = runtime_.now();
@@ -284,6 +330,8 @@
   front::progress at;
   // Final states are told once they are stored, never before.
   at.status = one->status_stored ? one->status : job_status::active;
+  if (at.status == job_status::cancelled && confirms_when_gone(platform_))
+    at.status = job_status::active;
   at.done = one->done.count();
   for (const auto& [task, entry] : one->attempts) {
     if (entry.phase == attempt_phase::running) ++at.running;
@@ -305,6 +353,12 @@
     if (one->attempts.empty()) book_.retire(*one);
     changed();
   }
+  // Where a lease outlasts the time a cancellation has, its user is told once the tasks are gone,
+  // and asks again until then.
+  if (one->status == job_status::cancelled && confirms_when_gone(platform_)) {
+    done(std::nullopt);
+    return;
+  }
   if (one->status_stored) {
     done(one->status);
     return;
@@ -723,6 +777,7 @@
   if (!ready_) return;
   look_for_deputies();
   workers_.probe();
+  workers_.forgive_errors();
   for (auto& [name, at] : workers_.all()) {
     if (at.notice) drain(at);
   }
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -12,8 +12,11 @@
 
 namespace gingerdrift::daemon {
 
-/// How long a leader that lost the store may still keep workers alive.
+/// How old what a controller knows of cancellations may be while it still renews workers' leases:
+/// a leader that lost the store counts it from the end of its own lease, a deputy from its reading.
 duration keeper_grace(const platform_settings& platform);
+/// A worker's lease outlasts the time a cancellation has: users are told once the tasks are gone.
+bool confirms_when_gone(const platform_settings& platform);
 
 /// One term of leadership: everything the leader knows, rebuilt from the store, and the loop that
 /// turns it into decisions. Gone when the term ends.
@@ -60,6 +63,7 @@
   void apply(const admission::decisions& made);
   bool may_start(const store::job& one, std::uint32_t task, const workers::worker& at);
   void answer_kept();
+  void answer_early(bool over);
   void tick();
   void drain(workers::worker& at);
   duration silence() const;
@@ -104,6 +108,7 @@
   std::optional<time_point> quiet_from_;           // none has acted since
   bool looking_for_deputies_ = false;
   std::vector<kept_report> kept_;
+  std::vector<kept_report> early_;  // came before the records were read
   std::uint64_t passes_begun_ = 0;
   std::uint64_t passes_done_ = 0;
   bool planning_ = false;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -181,6 +181,9 @@
         at.status = one.status;
         at.done = one.status == job_status::done ? one.spec.tasks : one.done.count();
         at.running = static_cast<std::uint32_t>(one.attempts.size());
+        // Its user is told once its tasks are gone, which the final record says.
+        if (how_.confirms_when_gone && at.status == job_status::cancelled)
+          at.status = job_status::active;
         if (at.status != job_status::active) at.running = 0;
         reply({200, write_progress(id, state_name(at), at.done, at.running), std::nullopt, false});
       } catch (const std::exception& error) {
@@ -242,7 +245,7 @@
   if (events_.leads()) {
     if (events_.known(id)) {
       events_.cancel(id, [id, reply](std::optional<job_status> status) {
-        if (!status) return later(reply, "could not be stored");
+        if (!status) return later(reply, "not confirmed yet");
         reply({200, write_state(id, store::status_name(*status)), std::nullopt, false});
       });
       return;
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -39,6 +39,8 @@
   std::uint32_t waiting_submissions = 64;
   std::uint32_t final_cache = 4096;
   std::uint32_t unit_tasks = 48;  // tasks that one record of a job holds
+  /// A job is called cancelled only once its tasks are proven gone.
+  bool confirms_when_gone = false;
 };
 
 /// The users' interface, the same on every controller.
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -33,20 +33,22 @@
     message one;
     one.kind = kind::beat;
     one.node = node_;
-    runtime_.call(peer.address, {"POST", path, encode(one)}, beat_deadline,
-                  [this, node = name, alive = alive_](const net::response& reply) {
-                    if (!*alive || reply.status != 200) return;
-                    const auto said = decode_answer(reply.body);
-                    if (!said) {
-                      spdlog::error("mesh: malformed answer from node={}", node);
-                      return;
-                    }
-                    auto& state = peers_[node];
-                    state.heard = runtime_.now();
-                    state.store_works = said->store_works;
-                    state.reports_seen = said->reports_seen;
-                    if (!said->leader.empty()) events_.heard_leader(said->leader, said->token);
-                  });
+    runtime_.call(
+        peer.address, {"POST", path, encode(one)}, beat_deadline,
+        [this, node = name, sent = runtime_.now(), alive = alive_](const net::response& reply) {
+          if (!*alive || reply.status != 200) return;
+          const auto said = decode_answer(reply.body);
+          if (!said) {
+            spdlog::error("mesh: malformed answer from node={}", node);
+            return;
+          }
+          auto& state = peers_[node];
+          // An answer may have lain here while this process stood still.
+          state.heard = std::max(state.heard, sent);
+          state.store_works = said->store_works;
+          state.reports_seen = said->reports_seen;
+          if (!said->leader.empty()) events_.heard_leader(said->leader, said->token);
+        });
   }
   timer_ = runtime_.after(beat_period, [this] { beat(); });
 }
--- a/src/workers/deputy.cpp
+++ b/src/workers/deputy.cpp
@@ -20,11 +20,12 @@
 std::string deputy_key(const std::string& node) { return deputy_prefix + node; }
 
 deputy::deputy(net::runtime& runtime, store::client& store, std::string node, std::string zone,
-               hooks events)
+               duration most_age, hooks events)
     : runtime_(runtime),
       store_(store),
       node_(std::move(node)),
       zone_(std::move(zone)),
+      job_age_(std::min<duration>(most_age, job_age)),
       events_(std::move(events)) {}
 
 deputy::~deputy() {
@@ -47,7 +48,7 @@
 bool deputy::in_force() const { return entered_ && runtime_.now() - confirmed_ < token_age; }
 
 bool deputy::fresh(const job_state& one) const {
-  return one.read != time_point{} && runtime_.now() - one.read < job_age;
+  return one.read != time_point{} && runtime_.now() - one.read < job_age_;
 }
 
 void deputy::handle(report said, net::reply_fn reply) {
@@ -59,7 +60,7 @@
   for (const auto& item : pending_.back().said.tasks) {
     auto& one = jobs_[item.job];
     // Renewed before it is too old, so that most answers need not wait.
-    if (!fresh(one) || runtime_.now() - one.read > job_age / 2) read_job(item.job);
+    if (!fresh(one) || runtime_.now() - one.read > job_age_ / 2) read_job(item.job);
   }
   settle();
 }
--- a/src/workers/deputy.hpp
+++ b/src/workers/deputy.hpp
@@ -28,8 +28,10 @@
     std::function<std::pair<std::string, bool>()> leader;
     std::function<std::string(const std::string& node)> zone_of;
   };
+  /// `most_age`: how old a reading of a job may be when an answer renews a lease; at most what a
+  /// cancellation has beyond that lease.
   deputy(net::runtime& runtime, store::client& store, std::string node, std::string zone,
-         hooks events);
+         duration most_age, hooks events);
   ~deputy();
   deputy(const deputy&) = delete;
   deputy& operator=(const deputy&) = delete;
@@ -68,6 +70,7 @@
   store::client& store_;
   std::string node_;
   std::string zone_;
+  duration job_age_;
   hooks events_;
   std::uint64_t token_ = 0;
   time_point confirmed_{};
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -17,6 +17,10 @@
 constexpr auto probe_pause = seconds(2);
 constexpr std::size_t most_probes = 20;
 constexpr std::uint32_t broken_machines = 3;
+/// A job that fails everywhere is still tried once a minute: its machines may have been at fault.
+constexpr duration longest_backoff = seconds(60);
+/// For how long a job passes by a machine on which it failed.
+constexpr duration error_memory = seconds(45);
 constexpr std::uint32_t most_backoff_doublings = 5;
 /// How often each member of a gang may wait in vain before the gang tries its luck elsewhere.
 constexpr std::uint32_t most_waits = 4;
@@ -90,6 +94,14 @@
   }
 }
 
+void registry::forgive_errors() {
+  for (auto& [id, one] : book_.all()) {
+    if (one.errors.empty() || runtime_.now() - one.last_error < error_memory) continue;
+    one.errors.clear();
+    one.view.reset();
+  }
+}
+
 std::string registry::handle(const report& said) {
   auto& from = workers_[said.machine];
   const time_point now = runtime_.now();
@@ -366,11 +378,13 @@
 /// that fails on several machines is broken and waits longer each time.
 void registry::note_error(worker& at, job& one) {
   ++one.errors[at.name];
+  one.last_error = runtime_.now();
   one.view.reset();
   if (one.errors.size() >= broken_machines) {
     const auto doublings = std::min(one.error_rounds, most_backoff_doublings);
     ++one.error_rounds;
-    one.not_before = runtime_.now() + how_.broken_backoff * (1 << doublings);
+    one.not_before = runtime_.now() +
+                     std::min<duration>(how_.broken_backoff * (1 << doublings), longest_backoff);
     one.errors.clear();
     spdlog::info("job fails everywhere job={} round={}", one.spec.id, one.error_rounds);
   } else {
--- a/src/workers/registry.hpp
+++ b/src/workers/registry.hpp
@@ -80,6 +80,8 @@
   /// at `confirmed`, that no deputy has acted since `quiet_from`.
   void check_leases(time_point quiet_from, time_point confirmed);
 
+  /// Machines on which a job failed are tried again after a while: they may be all that fits it.
+  void forgive_errors();
   /// Asks machines that may not hear us; one that answers is used again.
   void probe();
 
--- a/tests/added_rules_test.cpp
+++ b/tests/added_rules_test.cpp
@@ -101,6 +101,38 @@
   EXPECT_EQ(service.rules_broken(), "");
 }
 
+// Where a worker's lease outlasts the time a cancellation has, nothing could end the tasks of a
+// machine that is out of reach in time: the user is told once they are gone, and not before, by no
+// controller.
+TEST_P(added, a_cancellation_with_less_time_than_a_lease_is_confirmed_once_the_tasks_are_gone) {
+  site_shape shape;
+  shape.lease_s = 12;
+  shape.cancel_s = 5;
+  sim_service service(GetParam(), 3, shape);
+  auto& net = service.net;
+  for (int i = 0; i < 6; ++i) {
+    const sim_job job = array_of("run-" + std::to_string(100 + i), 6, 300);
+    net.after(seconds(1 + i), [&service, job] { service.site.submit(job); });
+  }
+  std::size_t running = 0;
+  net.after(seconds(40), [&] {
+    for (const auto& [name, one] : service.site.machines) {
+      running += one->tasks.size();
+      for (const auto& node : service.site.nodes)
+        net.cut(name, service.site.host_of(node), seconds(30), sim_net::cut_mode::drop);
+    }
+  });
+  for (int i = 0; i < 6; ++i)
+    net.after(seconds(41), [&, i] { service.site.withdraw("run-" + std::to_string(100 + i)); });
+  net.after(seconds(43), [&] { service.crash_for(*service.leader(), milliseconds(300)); });
+  net.run_for(seconds(46));
+  EXPECT_GT(running, 0U);
+  EXPECT_EQ(service.site.count("cancelled"), 0U) << "their machines still have them";
+  net.run_for(seconds(60));
+  EXPECT_EQ(service.site.count("cancelled"), 6U);
+  EXPECT_EQ(service.rules_broken(), "");
+}
+
 // All controllers restart with hundreds of unfinished jobs, mid-election and within moments: after
 // that every job answers a poll within 75 s, though the store allows few requests.
 TEST_P(added, every_job_is_known_soon_after_all_controllers_restarted) {
