Who borrows clears only what others borrow

Cause: an urgent job beyond its team's guarantee could clear guaranteed work of lower priority; that team then took its guarantee back from this very job. It is the rule of the KEP's home queue: what a team runs within its guarantee goes only to guaranteed work of a higher priority or to its own team's. Excluded: stopping only lower priorities for guarantees; it takes from who has a right to them.

--- a/src/admission/pass_state.hpp
+++ b/src/admission/pass_state.hpp
@@ -67,7 +67,7 @@
   std::vector<std::uint32_t> tasks_of(const victim& one) const;
   void index_places();
   void victims_on(std::size_t machine, const job_state& job, std::vector<victim>& out) const;
-  std::optional<clearing> clear(std::size_t machine, const job_state& job, bool for_guarantee,
+  std::optional<clearing> clear(std::size_t machine, const job_state& job, bool guaranteed,
                                 const std::vector<resources>& used,
                                 const std::set<std::size_t>& told) const;
   double loss(const job_view& job, const placed_view& place) const;
--- a/src/admission/preemption.cpp
+++ b/src/admission/preemption.cpp
@@ -62,10 +62,13 @@
 /// Chooses what to stop on one machine so that one task more fits; nullopt when nothing may be.
 /// Gangs in `told` are stopped anyway, for another machine of the same job.
 std::optional<pass_state::clearing> pass_state::clear(std::size_t machine, const job_state& job,
-                                                      bool for_guarantee,
+                                                      bool guaranteed,
                                                       const std::vector<resources>& used,
                                                       const std::set<std::size_t>& told) const {
   clearing out{machine, room_.at(machine).free, {}, 0, used};
+  // Array tasks are short and end one by one: places come free sooner than they can be cleared, and
+  // clearing them for each other's guarantees only wastes work.
+  const bool for_guarantee = job.view->gang && guaranteed;
   out.free += room_.at(machine).leaving;
   const auto& need = job.view->need;
   if (need.fits_in(out.free)) return out;
@@ -86,10 +89,13 @@
     const auto& other = *jobs_[one.job].view;
     const resources amount =
         other.need.times(other.gang ? static_cast<double>(other.placed.size()) : 1);
-    const bool lower = other.level < job.view->level;
-    const bool lent = for_guarantee && other.team != job.view->team &&
-                      borrowed(other.team, amount, out.used[other.team]);
-    if (!lower && !lent) continue;
+    const bool own = other.team == job.view->team;
+    const bool lent = !own && borrowed(other.team, amount, out.used[other.team]);
+    // Who borrows clears only what others borrow. When it could clear guaranteed work of a lower
+    // priority, that work's team took its guarantee back at once, from the very same job, and the
+    // two stopped each other, before either had begun, for as long as both waited.
+    const bool lower = other.level < job.view->level && (own || lent || guaranteed);
+    if (!lower && !(lent && for_guarantee)) continue;
     leaves(one);
     out.used[other.team] -= amount;
     out.cost += one.cost;
@@ -201,14 +207,12 @@
   // At most one variant of a job preempts at a time.
   if (job.set->preempting && *job.set->preempting != one.rank) return false;
   const auto wanted = static_cast<std::uint32_t>(job.view->gang ? job.left.size() : 1);
-  // Array tasks are short and end one by one: places come free sooner than they can be cleared, and
-  // clearing them for each other's guarantees only wastes work.
-  const bool for_guarantee = job.view->gang && within_guarantee(job, wanted);
-  if (!for_guarantee && job.view->level == priority::low) return false;
+  const bool guaranteed = within_guarantee(job, wanted);
+  if (!(guaranteed && job.view->gang) && job.view->level == priority::low) return false;
   if (waits_for_leavers(job, one, wanted)) return true;
   auto what = describe(job, one.where);
   what.level = job.view->level;
-  what.team = for_guarantee ? job.view->team + 1 : 0;
+  what.team = 2 * job.view->team + (guaranteed ? 1 : 0);
   const bool ordinary = plain(job);
   if (ordinary && searched(no_victims_, what, wanted)) return false;
   // A pass is bounded: who comes too late for a search in this one is first in a later one.
@@ -223,7 +227,7 @@
   for (const auto number : room_.groups(one.where)) {
     for (const auto machine : room_.of(number).members) {
       if (!usable(machine, job)) continue;
-      if (const auto found = clear(machine, job, for_guarantee, used, told))
+      if (const auto found = clear(machine, job, guaranteed, used, told))
         candidates.emplace_back(found->cost, machine);
     }
   }
@@ -240,7 +244,7 @@
     next.pop_front();
     if (chosen.count(machine) != 0) continue;
     if (!zone_allows(probe, room_.at(machine).view->where.zone)) continue;
-    auto found = clear(machine, job, for_guarantee, used, told);
+    auto found = clear(machine, job, guaranteed, used, told);
     if (!found) continue;
     chosen.insert(machine);
     while (cleared < job.left.size() && quota_allows(job, cleared + 1) &&
