A leader in doubt of its own link returns no machines, and resigns sooner among many

Now silent machines are kept while half of their zone is overdue by half a report. Excluded: spot machines kept for a whole lease; most silent ones are gone. The log says when a process stood still, and which peer was silent for how long. A scattered array bound to one zone takes turns and is accepted; a scattered gang with one zone is not, as it can never run.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -10,6 +10,10 @@
 constexpr auto types_deadline = seconds(4);
 constexpr auto account_period = seconds(30);
 constexpr auto watch_period = milliseconds(500);
+/// A timer this late means that the process stood still.
+constexpr auto stood_still = seconds(2);
+constexpr std::size_t many_machines = 20;
+constexpr auto knock_delay = milliseconds(4500);
 constexpr auto store_patience = seconds(2);
 constexpr auto forward_deadline = milliseconds(1200);
 constexpr auto stand_back = seconds(15);
@@ -144,6 +148,7 @@
   deputy_->start();
   read_types();
   fetch_types();
+  watched_ = runtime_.now();
   watch_over();
   account_timer_ = runtime_.after(account_period, [this] { account(); });
 }
@@ -196,9 +201,19 @@
 void controller::watch_over() {
   watch_timer_ = runtime_.after(watch_period, [this] { watch_over(); });
   const time_point now = runtime_.now();
+  if (now - watched_ > stood_still)
+    spdlog::info("this process stood still for_s={:.1f}", to_seconds(now - watched_));
+  watched_ = now;
   std::erase_if(knocks_, [&](time_point at) { return now - at > platform_.report * 2; });
-  if (!leads() || !term_->expects_workers()) return;
-  if (now - term_->last_report() < platform_.report * 2 + seconds(1)) return;
+  if (!leads() || term_->machines() == 0) return;
+  // Of many machines one at least reports in each period, give or take a quarter, so their silence
+  // is told sooner; a worker that gets no answer knocks elsewhere after 4 s.
+  const duration patience =
+      term_->machines() < many_machines
+          ? platform_.report * 2 + seconds(1)
+          : std::min<duration>(platform_.report * 2 + seconds(1),
+                               std::max<duration>(platform_.report, knock_delay));
+  if (now - term_->last_report() < patience) return;
   for (const auto& [name, peer] : mesh_->peers()) {
     if (!mesh_->heard_lately(peer) || peer.reports_seen == 0) continue;
     spdlog::info("no worker reaches this leader, but node={} sees them", name);
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -48,6 +48,7 @@
   std::unique_ptr<workers::deputy> deputy_;
   std::unique_ptr<term> term_;
   std::vector<admission::machine_type> types_;
+  time_point watched_{};            // when watch_over last ran
   std::vector<time_point> knocks_;  // reports of workers this node redirected lately
   net::timer_id types_timer_ = 0;
   net::timer_id watch_timer_ = 0;
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -38,6 +38,8 @@
 constexpr std::size_t least_cut_off = 3;
 /// Its machines are kept this much longer: back with the zone, they need neither boot nor image.
 constexpr duration cut_patience = seconds(120);
+/// A report is overdue after so many periods: workers vary theirs by a quarter.
+constexpr double overdue_periods = 1.5;
 constexpr duration deaf_patience = seconds(10);
 
 workers::options worker_options(const platform_settings& platform, const operator_settings& rules,
@@ -322,7 +324,7 @@
   for (auto& one : ready) one.answer(workers_.answer(one.said));
 }
 
-bool term::expects_workers() const { return ready_ && !fleet_.all().empty(); }
+std::size_t term::machines() const { return ready_ ? fleet_.all().size() : 0; }
 
 std::optional<front::progress> term::known(const std::string& id) {
   const job* one = book_.find(id);
@@ -643,6 +645,7 @@
   struct count {
     std::size_t all = 0;
     std::size_t silent = 0;
+    std::size_t overdue = 0;
     std::size_t deaf = 0;
   };
   std::map<std::string, count> zones;
@@ -653,7 +656,9 @@
     const time_point heard = at != nullptr && at->reported ? at->last_report : time_point{};
     auto& zone = zones[listed.where.zone];
     ++zone.all;
-    if (now - std::max({heard, listed.running_since, started_}) > silence() / 2) ++zone.silent;
+    const duration unheard = now - std::max({heard, listed.running_since, started_});
+    if (unheard > silence() / 2) ++zone.silent;
+    if (unheard > platform_.report * overdue_periods) ++zone.overdue;
     if (at != nullptr && at->deaf_since) ++zone.deaf;
   }
   const auto many = [](std::size_t of_them, std::size_t all) {
@@ -662,6 +667,7 @@
   deaf_zones_.clear();
   for (const auto& [zone, found] : zones) {
     if (many(found.deaf, found.all)) deaf_zones_.insert(zone);
+    if (many(found.overdue, found.all)) doubted_[zone] = now;
     if (!many(found.silent, found.all)) continue;
     if (!cut_off(zone))
       spdlog::info("zone is cut off zone={} silent={} of={}", zone, found.silent, found.all);
@@ -676,6 +682,14 @@
   return seen != cut_seen_.end() && runtime_.now() - seen->second < tick_period * 2;
 }
 
+/// Much of the zone is overdue at once: the link may be at fault, or this very controller. A leader
+/// that its workers could not reach once returned 73 spot machines with 525 tasks, those whose
+/// reports had come first, in the second before half of the zone counted as silent and it resigned.
+bool term::in_doubt(const std::string& zone) const {
+  const auto seen = doubted_.find(zone);
+  return seen != doubted_.end() && runtime_.now() - seen->second < tick_period * 2;
+}
+
 /// For how much longer a zone's silent machines are kept. A cut that has ended still counts for a
 /// worker's lease, while its workers find the leader again one after the other: when the first half
 /// was back, the other half, 235 machines with 900 tasks, was once returned at that very moment.
@@ -702,7 +716,8 @@
     // A spot machine that falls silent has most likely been taken without notice.
     const duration patience =
         at.where.spot ? std::max(silence() / 2, platform_.report * 3) : silence();
-    if (now - at.last_report > patience + allowance(at.where.zone)) {
+    if (now - at.last_report > patience + allowance(at.where.zone) &&
+        (now - at.last_report > silence() + cut_patience || !in_doubt(at.where.zone))) {
       fleet_.release(name, "silent");
       continue;
     }
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -46,7 +46,8 @@
   nlohmann::json status() const;
   /// When workers were last heard; the start of the term if never.
   time_point last_report() const { return last_report_; }
-  bool expects_workers() const;
+  /// Machines that should report.
+  std::size_t machines() const;
 
  private:
   void load(const std::string& prefix, const std::string& after);
@@ -69,6 +70,7 @@
   duration silence() const;
   void look_at_zones();
   bool cut_off(const std::string& zone) const;
+  bool in_doubt(const std::string& zone) const;
   duration allowance(const std::string& zone) const;
   void return_machines();
   using idle_machines = std::vector<std::pair<time_point, std::string>>;  // since when
@@ -103,6 +105,7 @@
   std::set<std::string> expected_;
   std::set<std::string> deaf_zones_;               // where many machines don't hear us
   std::map<std::string, time_point> cut_seen_;     // when a zone was last found cut off
+  std::map<std::string, time_point> doubted_;      // when much of it was last found overdue
   std::map<std::string, std::uint64_t> deputies_;  // their records' versions, as last read
   std::set<std::string> deputy_zones_;             // where one acts
   std::optional<time_point> quiet_from_;           // none has acted since
--- a/src/front/wire.cpp
+++ b/src/front/wire.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace gingerdrift::front {
 
@@ -147,18 +148,22 @@
   if ((team->cpus_max > 0 && spec.need.cpus * at_once > team->cpus_max + slack) ||
       (team->gpus_max > 0 && spec.need.gpus * at_once > team->gpus_max + slack))
     return "more than the team's limit";
-  if (spec.one_zone && spec.spread && spec.tasks > 1)
-    return "together and scatter exclude each other";
-  if (!spec.zone.empty() && spec.spread && spec.tasks > 1)
-    return "yard and scatter exclude each other";
+  // An array's tasks take turns where only half of them may be; a gang's can't.
+  const bool halves = spec.gang && spec.spread && spec.tasks > 1;
+  if (halves && spec.one_zone) return "together and scatter exclude each other";
+  if (halves && !spec.zone.empty()) return "yard and scatter exclude each other";
+  std::set<std::string> zones;
   for (const auto& type : types) {
     const bool named =
         std::find(spec.types.begin(), spec.types.end(), type.name) != spec.types.end();
     const bool there = spec.zone.empty() || std::find(type.zones.begin(), type.zones.end(),
                                                       spec.zone) != type.zones.end();
-    if ((spec.any_type || named) && there && spec.need.fits_in(type.size)) return {};
+    if ((spec.any_type || named) && there && spec.need.fits_in(type.size))
+      zones.insert(type.zones.begin(), type.zones.end());
   }
-  return "a task fits no allowed machine type";
+  if (zones.empty()) return "a task fits no allowed machine type";
+  if (halves && zones.size() < 2) return "scatter needs two zones";
+  return {};
 }
 
 std::string write_state(const std::string& id, const char* state) {
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -30,6 +30,10 @@
 
 void link::beat() {
   for (auto& [name, peer] : peers_) {
+    if (!peer.quiet && peer.heard != time_point{} && !heard_lately(peer)) {
+      peer.quiet = true;
+      spdlog::info("peer is silent node={}", name);
+    }
     message one;
     one.kind = kind::beat;
     one.node = node_;
@@ -44,6 +48,9 @@
           }
           auto& state = peers_[node];
           // An answer may have lain here while this process stood still.
+          if (std::exchange(state.quiet, false))
+            spdlog::info("peer is back node={} silent_s={:.1f}", node,
+                         to_seconds(runtime_.now() - state.heard));
           state.heard = std::max(state.heard, sent);
           state.store_works = said->store_works;
           state.reports_seen = said->reports_seen;
--- a/src/mesh/mesh.hpp
+++ b/src/mesh/mesh.hpp
@@ -14,6 +14,7 @@
 struct peer_state {
   std::string address;
   time_point heard{};
+  bool quiet = false;  // not heard lately, and the log says so
   bool store_works = false;
   std::uint64_t reports_seen = 0;
 };
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -213,6 +213,37 @@
   EXPECT_FALSE(held());
 }
 
+// A job that fails everywhere waits longer each time, but never for long, and the machines it
+// failed on are not passed by for ever: they may be all that fits it.
+TEST_F(proofs, failures_hold_a_job_back_for_a_minute_at_most) {
+  store::job& one = *book.find("run-1");
+  std::uint64_t seq = 4;
+  const auto fail_on = [&](const std::string& name, std::uint64_t number) {
+    auto with = report(3, ++seq, our_token);
+    with.machine = name;
+    registry.handle(with);
+    registry.place(one, 1, name, number);
+    with.seq = ++seq;
+    with.tasks = {{"run-1", 1, number, attempt_phase::exited, exit_cause::error}};
+    registry.handle(with);
+    EXPECT_EQ(one.attempts.count(1), 0U);
+  };
+  for (std::uint64_t round = 0; round < 9; ++round) {
+    for (const std::string name : {"m", "n", "o"}) fail_on(name, 100 + round);
+  }
+  EXPECT_EQ(one.error_rounds, 9U);
+  EXPECT_GT(one.not_before, net.now() + seconds(30));
+  EXPECT_LE(one.not_before, net.now() + seconds(60));
+  fail_on("m", 200);
+  EXPECT_EQ(one.errors.size(), 1U);
+  net.run_for(seconds(30));
+  registry.forgive_errors();
+  EXPECT_EQ(one.errors.size(), 1U);
+  net.run_for(seconds(20));
+  registry.forgive_errors();
+  EXPECT_TRUE(one.errors.empty());
+}
+
 TEST_F(proofs, a_machine_rented_in_this_term_is_used_from_its_first_report_on) {
   rented_now = true;
   registry.handle(report(3, 1, 0));
--- a/tests/support/sim_site.cpp
+++ b/tests/support/sim_site.cpp
@@ -59,7 +59,9 @@
     const json body = json::parse(message.body);
     for (const auto& item : body.at("hosts")) {
       const auto found = machines.find(item.get<std::string>());
-      if (found != machines.end()) found->second->vanish();
+      if (found == machines.end()) continue;
+      facts["returned_with_tasks"] += !found->second->tasks.empty();
+      found->second->vanish();
     }
     return send(reply, 200, json::object());
   }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -69,6 +69,24 @@
   EXPECT_NE(why("pieces", 17, true), "") << "a gang runs at once";
   EXPECT_NE(why("flavors", json::array({"other"})), "");
   EXPECT_NE(why("yard", "z"), "");
+  // A scattered gang needs two zones; an array's tasks take turns in one.
+  json body = good();
+  body["pieces"] = 2;
+  body["scatter"] = true;
+  for (const bool gang : {true, false}) {
+    body["shape"] = gang ? "ensemble" : "sweep";
+    const auto with = [&](bool one_zone, const char* zone, std::vector<std::string> zones) {
+      body["together"] = one_zone;
+      body["yard"] = zone == nullptr ? json() : json(zone);
+      auto here = type;
+      here.zones = std::move(zones);
+      return front::impossible(front::read_job(body.dump()).spec, teams, {here}).empty();
+    };
+    EXPECT_TRUE(with(false, nullptr, {"a", "b"}));
+    EXPECT_EQ(with(true, nullptr, {"a", "b"}), !gang);
+    EXPECT_EQ(with(false, "a", {"a", "b"}), !gang);
+    EXPECT_EQ(with(false, nullptr, {"a"}), !gang);
+  }
 }
 
 TEST(wire, reports_that_are_malformed_are_dropped) {
