Quota that a gang clears in its own team is left to it

Cause: at its team's limit a gang clears the team's own lower work and begins when all of it is gone. The limit now holds for what was decided as well as for what runs. Excluded: keeping machines, as room was not what lacked.

--- a/src/admission/scheduler.cpp
+++ b/src/admission/scheduler.cpp
@@ -122,11 +122,16 @@
   return true;
 }
 
+/// Within the limit now, and once what was decided has happened too: a gang that clears its own
+/// team's work waits for all of it to go, and would never begin if others of the team took what
+/// comes free meanwhile, only to be stopped for it again.
 bool pass_state::quota_allows(const job_state& job, double tasks) const {
   const auto& team = world_.teams[job.view->team];
-  resources sum = used_[job.view->team];
-  sum += job.view->need.times(tasks);
-  return within(sum, team.cpus_max, team.gpus_max);
+  const auto fits = [&](resources sum) {
+    sum += job.view->need.times(tasks);
+    return within(sum, team.cpus_max, team.gpus_max);
+  };
+  return fits(used_[job.view->team]) && fits(settled_[job.view->team]);
 }
 
 bool pass_state::within_guarantee(const job_state& job, double tasks) const {
