Broken jobs are tried with one task at a time and brand no machine as sick

Now such an array has one task out at a time until one succeeds, and a job that failed on a second machine no longer counts against the first.

--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -462,8 +462,11 @@
     out.placed.push_back(std::move(place));
   }
   if (one.status == job_status::active) {
-    for (std::uint32_t task = 0; task < spec.tasks && out.waiting.size() < most_waiting_in_view;
-         ++task) {
+    // A job that failed everywhere is tried with one task: hundreds that all fail hold room and
+    // images, time after time, that others wait for. Its first success sets it free.
+    const bool broken = one.error_rounds > 0 && !spec.gang;
+    const std::size_t most = broken ? std::size_t{one.attempts.empty()} : most_waiting_in_view;
+    for (std::uint32_t task = 0; task < spec.tasks && out.waiting.size() < most; ++task) {
       const auto range = one.done.ranges().upper_bound(task);
       if (range != one.done.ranges().begin() && task <= std::prev(range)->second) {
         task = std::prev(range)->second;
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -390,8 +390,15 @@
   } else {
     one.not_before = std::max(one.not_before, runtime_.now() + milliseconds(500));
   }
-  // Jobs known to fail everywhere say nothing about a machine.
+  // Jobs that fail elsewhere too say nothing about a machine: two broken jobs that happened to meet
+  // on one would have it returned.
   if (one.error_rounds > 0) return;
+  if (one.errors.size() > 1) {
+    for (const auto& [name, count] : one.errors) {
+      if (worker* other = find(name); other != nullptr) other->failed_jobs.erase(one.spec.id);
+    }
+    return;
+  }
   at.failed_jobs.insert(one.spec.id);
   if (!at.sick && at.failed_jobs.size() >= how_.sick_jobs) {
     at.sick = true;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -202,6 +202,33 @@
   expect_fine(service, 13);
 }
 
+// A large array that fails everywhere, and others that do, on machines they share: they are tried
+// now and then with a task each, brand no machine as sick, and can be called off.
+TEST(service, broken_jobs_are_tried_with_one_task_and_brand_no_machine) {
+  sim_service service(8);
+  for (int i = 0; i < 3; ++i) {
+    sim_job bad;
+    bad.id = "run-" + std::to_string(1 + i);
+    bad.team = i == 1 ? "red" : "blue";
+    bad.tasks = i == 0 ? 40 : 4;
+    bad.spot = true;
+    bad.fails = true;
+    service.net.after(seconds(3 + i), [&service, bad] { service.site.submit(bad); });
+  }
+  submit_mixed(service, 20, seconds(60));
+  service.net.run_for(seconds(60));
+  const auto by_then = service.site.facts["runs_of_broken_jobs"];
+  EXPECT_GE(by_then, 12U);
+  service.net.run_for(seconds(100));
+  const auto later = service.site.facts["runs_of_broken_jobs"] - by_then;
+  EXPECT_GE(later, 3U) << "each is tried again";
+  EXPECT_LE(later, 18U) << "with a task at a time";
+  EXPECT_EQ(service.site.count("done"), 20U);
+  EXPECT_EQ(service.site.facts["returned_with_tasks"], 0U);
+  for (int i = 0; i < 3; ++i) service.site.withdraw("run-" + std::to_string(1 + i));
+  expect_fine(service, 23);
+}
+
 TEST(service, one_controller_alone_serves_too) {
   sim_service service(9, 1);
   submit_mixed(service, 10, seconds(20));
--- a/tests/support/rule_checks.cpp
+++ b/tests/support/rule_checks.cpp
@@ -44,6 +44,7 @@
 
 /// Once a user was told that a job is cancelled, only starts that were under way may arrive.
 void sim_site::run_taken(const std::string& job) {
+  if (jobs.at(job).fails) ++facts["runs_of_broken_jobs"];
   const auto told_at = cancelled_at_.find(job);
   if (told_at == cancelled_at_.end()) return;
   const duration late = net.now() - told_at->second;
