--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -46,6 +46,7 @@
   nlohmann::json status() const;
   /// When workers were last heard; the start of the term if never.
   time_point last_report() const { return last_report_; }
+  bool heard_workers() const { return last_report_ != started_; }
   /// Machines that should report.
   std::size_t machines() const;
 
