--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -207,12 +207,11 @@
   std::erase_if(knocks_, [&](time_point at) { return now - at > platform_.report * 2; });
   if (!leads() || term_->machines() == 0) return;
   // Of many machines one at least reports in each period, give or take a quarter, so their silence
-  // is told sooner; a worker that gets no answer knocks elsewhere after 4 s.
-  const duration patience =
-      term_->machines() < many_machines
-          ? platform_.report * 2 + seconds(1)
-          : std::min<duration>(platform_.report * 2 + seconds(1),
-                               std::max<duration>(platform_.report, knock_delay));
+  // is told sooner; a worker that gets no answer knocks elsewhere after 4 s. Workers still on their
+  // way to a new leader get the longer time.
+  duration patience = platform_.report * 2 + seconds(1);
+  if (term_->machines() >= many_machines && term_->heard_workers())
+    patience = std::min<duration>(patience, std::max<duration>(platform_.report, knock_delay));
   if (now - term_->last_report() < patience) return;
   for (const auto& [name, peer] : mesh_->peers()) {
     if (!mesh_->heard_lately(peer) || peer.reports_seen == 0) continue;
