--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -51,6 +51,8 @@
   std::size_t machines() const;
 
  private:
+  static constexpr auto tick_period = seconds(1);
+
   void load(const std::string& prefix, const std::string& after);
   void loaded();
   void follow();
