--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -229,6 +229,61 @@
   expect_fine(service, 23);
 }
 
+// A guest team without a guarantee brings one enormous array and a swarm of tiny jobs, and users
+// ask after their jobs twenty times as often as they should, through every controller, while the
+// leader changes. Others begin as before, the guests get what is spare, and every question is
+// answered.
+TEST_P(seeded, guests_and_many_questions_take_nothing_from_others) {
+  sim_service service(GetParam());
+  auto& net = service.net;
+  sim_job enormous;
+  enormous.id = "run-900";
+  enormous.team = "guest";
+  enormous.tasks = 400;
+  enormous.run_s = 4;
+  enormous.spot = true;
+  enormous.urgency = "low";
+  net.after(seconds(1), [&service, enormous] { service.site.submit(enormous); });
+  for (int i = 0; i < 60; ++i) {
+    sim_job tiny = enormous;
+    tiny.id = "run-" + std::to_string(1000 + i);
+    tiny.tasks = 1;
+    tiny.run_s = 2;
+    net.after(milliseconds(500) * i, [&service, tiny] { service.site.submit(tiny); });
+  }
+  submit_mixed(service, 24, seconds(60));
+  std::size_t asked = 0;
+  std::size_t answered = 0;
+  for (int i = 0; i < 4000; ++i) {
+    net.after(seconds(10) + milliseconds(20) * i, [&, i] {
+      const auto& node = service.site.nodes[static_cast<std::size_t>(i) % 3];
+      const std::string id = "run-" + std::to_string(i % 3 == 0 ? 900 : 1000 + i % 20);
+      ++asked;
+      net.call("crowd", node, {"GET", "/work/" + id, ""}, seconds(2),
+               [&](const net::response& reply) {
+                 answered += reply.status == 200;
+                 if (reply.status == 404) service.site.complain("forgotten by some");
+               });
+    });
+  }
+  net.after(seconds(40), [&] { service.crash_for(*service.leader(), milliseconds(300)); });
+  net.run_for(seconds(100));
+  std::size_t prompt = 0;
+  for (int i = 0; i < 24; ++i) {
+    const std::string id = "run-" + std::to_string(100 + i);
+    const auto begun = service.site.began.find(id);
+    prompt += begun != service.site.began.end() &&
+              begun->second - service.site.submitted.at(id) < seconds(45);
+  }
+  EXPECT_GE(prompt, 20U) << "others begin beside the guests";
+  EXPECT_EQ(asked, 4000U);
+  EXPECT_GE(answered, 3400U) << "but for the seconds of the takeover";
+  service.site.calm();
+  expect_fine(service, 85);
+  service.site.check_served();
+  EXPECT_EQ(service.rules_broken(), "");
+}
+
 TEST(service, one_controller_alone_serves_too) {
   sim_service service(9, 1);
   submit_mixed(service, 10, seconds(20));
