--- a/src/front/acceptance_check.cpp
+++ b/src/front/acceptance_check.cpp
@@ -35,10 +35,10 @@
   mine->left = std::move(jobs);
   mine->until = runtime_.now() + longest_search;
   mine->done = std::move(done);
-  next_batch(std::move(mine));
+  next_batch(mine);
 }
 
-void acceptance_check::next_batch(std::shared_ptr<search> mine) {
+void acceptance_check::next_batch(const std::shared_ptr<search>& mine) {
   std::erase_if(mine->left, [this](const std::string& job) { return accepted_.count(job) != 0; });
   if (mine->left.empty()) return mine->done(verdict::all_accepted);
   if (runtime_.now() >= mine->until) return mine->done(verdict::undecided);
--- a/src/front/acceptance_check.hpp
+++ b/src/front/acceptance_check.hpp
@@ -39,7 +39,7 @@
     time_point until;
     verdict_fn done;
   };
-  void next_batch(std::shared_ptr<search> mine);
+  void next_batch(const std::shared_ptr<search>& mine);
   void batch_answered(const std::shared_ptr<search>& mine, std::size_t count,
                       const store::result& answer);
 
--- /dev/null
+++ b/tests/dependency_tracker_test.cpp
@@ -0,0 +1,190 @@
+// What a leader derives for jobs that wait: only from what is stored.
+#include <gtest/gtest.h>
+
+#include "dependencies/tracker.hpp"
+#include "support/state_service.hpp"
+
+namespace gingerdrift::testing {
+
+namespace {
+
+class waiting_jobs : public ::testing::Test, private dependencies::tracker_owner {
+ protected:
+  waiting_jobs()
+      : book(runtime, client, {"gd/leader", 0}, limits,
+             {[this](const std::string& id) { tracker.job_stored(id); },
+              [this](const std::string& id, const store::final_state& end) {
+                tracker.job_gone(id, end);
+              },
+              [] {}, [] { return true; }}),
+        tracker(runtime, client, book, *this) {
+    state.limit(limits);
+    tracker.start();
+  }
+  store::job& add(const std::string& id, std::vector<std::string> dependencies = {}) {
+    store::job one;
+    one.spec.id = id;
+    one.units.resize(1);
+    one.waiting = !dependencies.empty();
+    one.dependencies = std::move(dependencies);
+    store::job& kept = book.insert(std::move(one));
+    tracker.job_added(kept);
+    return kept;
+  }
+  void end(store::job& one, store::job_status status) {
+    one.status = status;
+    book.retire(one);
+  }
+  bool over(const std::string& id) { return book.find(id) == nullptr; }
+
+  void take_job(const store::entry& head) override {
+    tracker.job_added(book.insert(store::read_head(head.value, head.version)));
+  }
+  std::optional<store::final_state> remembered_end(const std::string&) override {
+    return std::nullopt;
+  }
+  void dependencies_changed() override { ++changes; }
+
+  const store::service_limits limits{100, 50, 8, 24};
+  sim_net net{1};
+  state_service state{net, "state:1"};
+  sim_runtime runtime{net, "node-0"};
+  store::client client{runtime, "state:1", limits, std::nullopt, {1, 1, 0.5}};
+  std::size_t changes = 0;
+  store::job_book book;
+  dependencies::tracker tracker;
+};
+
+}  // namespace
+
+// A leader's memory of an end may be gone with it, and its successor may accept a cancellation.
+TEST_F(waiting_jobs, are_ready_only_once_done_is_stored) {
+  store::job& first = add("run-1");
+  const store::job& next = add("run-2", {"run-1"});
+  state.outage(seconds(5));
+  end(first, store::job_status::done);
+  net.run_for(seconds(4));
+  EXPECT_TRUE(next.waiting);
+  net.run_for(seconds(4));
+  EXPECT_TRUE(over("run-1"));
+  EXPECT_FALSE(next.waiting);
+  EXPECT_NE(next.ready_ms, 0);
+  EXPECT_GT(changes, 0U);
+}
+
+// Were they stored as cancelled first, the job itself might still turn out to be done.
+TEST_F(waiting_jobs, are_cancelled_only_once_what_they_need_is_stored_as_cancelled) {
+  store::job& first = add("run-1");
+  const store::job& next = add("run-2", {"run-1"});
+  add("run-3", {"run-2"});
+  state.outage(seconds(5));
+  end(first, store::job_status::cancelled);
+  net.run_for(seconds(4));
+  EXPECT_EQ(next.status, store::job_status::active);
+  net.run_for(seconds(4));
+  EXPECT_TRUE(over("run-2"));
+  EXPECT_TRUE(over("run-3"));
+}
+
+TEST_F(waiting_jobs, that_ended_long_ago_are_read_from_their_final_records) {
+  for (const auto* status : {"done", "cancelled"}) {
+    client.txn({},
+               {{"gd/final/run-" + std::string(status == std::string("done") ? "1" : "2"),
+                 {{"status", status}, {"done", 1}},
+                 0,
+                 false}},
+               [](const store::result&) {});
+  }
+  net.run_for(seconds(1));
+  const store::job& ready = add("run-11", {"run-1"});
+  const store::job& doomed = add("run-12", {"run-1", "run-2"});
+  EXPECT_FALSE(tracker.certain(ready));
+  EXPECT_FALSE(tracker.certain(doomed));
+  net.run_for(seconds(1));
+  EXPECT_FALSE(ready.waiting);
+  EXPECT_TRUE(over("run-12"));
+}
+
+TEST_F(waiting_jobs, whose_dependency_was_accepted_elsewhere_have_it_read) {
+  store::job unseen;
+  unseen.spec.id = "run-1";
+  unseen.units.resize(1);
+  client.txn({}, {{"gd/job/run-1", store::write_head(unseen), 0, false}},
+             [](const store::result&) {});
+  net.run_for(seconds(1));
+  const store::job& next = add("run-2", {"run-1"});
+  net.run_for(seconds(1));
+  EXPECT_FALSE(over("run-1"));
+  EXPECT_TRUE(next.waiting);
+  EXPECT_TRUE(tracker.certain(next));
+}
+
+// A cascade wider than a transaction and than a second's writes; its leader ends in the middle.
+TEST_F(waiting_jobs, of_a_wide_cascade_are_all_cancelled_by_a_successor) {
+  store::job& root = add("run-1");
+  for (int i = 0; i < 300; ++i) {
+    store::job one;
+    one.spec.id = "run-" + std::to_string(1000 + i);
+    one.units.resize(1);
+    one.waiting = true;
+    one.dependencies = {i < 150 ? "run-1" : "run-" + std::to_string(1000 + i - 150)};
+    client.txn({}, {{store::head_key(one.spec.id), store::write_head(one), 0, false}},
+               [](const store::result&) {});
+    net.run_for(milliseconds(40));
+    take_job({store::head_key(one.spec.id), store::write_head(one), 0});
+  }
+  client.list("gd/job/", "", [this](const store::result& found) {
+    for (const auto& entry : found.entries)
+      book.find(entry.key.substr(7))->units[0].version = entry.version;
+  });
+  net.run_for(seconds(2));
+  end(root, store::job_status::cancelled);
+  net.run_for(seconds(2));
+  const auto cancelled = [this] {
+    std::size_t sum = 0;
+    for (int i = 0; i < 300; ++i)
+      sum += state.peek("gd/final/run-" + std::to_string(1000 + i)) != nullptr;
+    return sum;
+  };
+  const std::size_t by_then = cancelled();
+  EXPECT_GT(by_then, 0U);
+  EXPECT_LT(by_then, 300U);
+  // The successor knows the records alone.
+  const store::condition office{"gd/leader", 0};
+  sim_runtime other{net, "node-1"};
+  store::client its_client{other, "state:1", limits, std::nullopt, {1, 1, 0.5}};
+  struct successor final : dependencies::tracker_owner {
+    void take_job(const store::entry& head) override {
+      tracker->job_added(book->insert(store::read_head(head.value, head.version)));
+    }
+    std::optional<store::final_state> remembered_end(const std::string&) override {
+      return std::nullopt;
+    }
+    void dependencies_changed() override {}
+    store::job_book* book = nullptr;
+    dependencies::tracker* tracker = nullptr;
+  } owner;
+  store::job_book its_book(other, its_client, office, limits,
+                           {[&](const std::string& id) { owner.tracker->job_stored(id); },
+                            [&](const std::string& id, const store::final_state& last) {
+                              owner.tracker->job_gone(id, last);
+                            },
+                            [] {}, [] { return true; }});
+  dependencies::tracker its_tracker(other, its_client, its_book, owner);
+  owner.book = &its_book;
+  owner.tracker = &its_tracker;
+  client.set_write_share(0);  // the first leader is gone
+  net.run_for(seconds(3));
+  std::function<void(const std::string&)> load = [&](const std::string& after) {
+    its_client.list("gd/job/", after, [&](const store::result& page) {
+      for (const auto& entry : page.entries) owner.take_job(entry);
+      if (page.more) return load(page.entries.back().key);
+      its_tracker.start();
+    });
+  };
+  load("");
+  net.run_for(seconds(40));
+  EXPECT_EQ(cancelled(), 300U);
+}
+
+}  // namespace gingerdrift::testing
