--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -81,6 +81,7 @@
 
   /// What the leader's records may take now; a little is left for submissions.
   double writes_for_records();
+  double write_rate() const { return writes_.rate(); }
   /// The leader does most of the writing.
   void set_write_share(double share);
   /// Last time anything but silence or 503 came back.
--- a/src/store/job.cpp
+++ b/src/store/job.cpp
@@ -173,8 +173,9 @@
 }
 
 std::uint32_t unit_tasks_for(std::uint32_t tasks, std::size_t head_bytes, std::size_t value_bytes) {
-  // An attempt or a finished range each; machine names may be long.
-  constexpr std::size_t task_bytes = 40;
+  // An attempt or a finished range each, as they mostly are; a record that turns out larger waits
+  // until some of its tasks have ended.
+  constexpr std::size_t task_bytes = 28;
   constexpr std::size_t part_overhead = 64;
   constexpr std::size_t most = 400;
   const auto room_for = [&](std::size_t taken) {
--- a/src/store/job_book.cpp
+++ b/src/store/job_book.cpp
@@ -9,6 +9,7 @@
 namespace {
 constexpr auto group_delay = milliseconds(4);
 constexpr auto retry_delay = milliseconds(150);
+constexpr duration starts_spacing = milliseconds(150);
 constexpr std::uint32_t least_txn_operations = 4;
 constexpr std::size_t least_value_bytes = 512;
 /// Of the 64 KiB of a transaction, what records take; a value of the start log comes on top.
@@ -179,10 +180,8 @@
   send(std::move(batch));
 }
 
-/// Final states and cancellations. However many there are, starts that wait keep one operation.
+/// Final states and cancellations.
 void job_book::add_urgent(commit& batch) {
-  const double for_starts = log_.waiting() ? 1 : 0;
-  batch.budget -= for_starts;
   std::vector<unit_name> later;
   while (batch.bytes < txn_bytes) {
     const auto unit = changes_.next_urgent();
@@ -191,14 +190,19 @@
     if (result == outcome::not_yet) later.push_back(*unit);
     if (result != outcome::no_room) continue;
     changes_.put_back_urgent(*unit);
+    batch.urgent_left = true;
     break;
   }
   for (const auto& unit : later) changes_.add_urgent(unit);
-  batch.budget += for_starts;
 }
 
+/// Where writes are scarce, starts are gathered for a moment: a write for the few of each pass
+/// would use up what final states and progress need, and workers hear of them with their reports
+/// only.
 void job_book::add_starts(commit& batch) {
-  if (batch.budget < 1) return;
+  const time_point now = runtime_.now();
+  const bool scarce = batch.budget < store_.write_rate() / 2;
+  if (batch.budget < 1 || (scarce && now - last_starts_ < starts_spacing)) return;
   const std::size_t before = batch.operations.size();
   log_.prepare(
       [this](const start_entry& start) {
@@ -206,10 +210,13 @@
         return one == nullptr || one->units[start.unit].stored >= start.change;
       },
       batch.conditions, batch.operations);
+  if (batch.operations.size() > before) last_starts_ = now;
   batch.budget -= static_cast<double>(batch.operations.size() - before);
 }
 
 void job_book::add_progress(commit& batch) {
+  // What it would take now is needed by a final state that did not fit.
+  if (batch.urgent_left) return;
   const time_point now = runtime_.now();
   while (batch.bytes < txn_bytes && batch.budget >= 1) {
     const auto unit = changes_.next_progress(now);
@@ -222,39 +229,69 @@
   }
 }
 
-bool job_book::parts_remain(const job& one) const {
-  return std::any_of(one.units.begin() + 1, one.units.end(),
-                     [](const record_unit& part) { return part.version != 0; });
+std::size_t job_book::stored_parts(const job& one) {
+  return static_cast<std::size_t>(
+      std::count_if(one.units.begin() + 1, one.units.end(),
+                    [](const record_unit& part) { return part.version != 0; }));
+}
+
+/// Few enough operations for a transaction, and for a moment's budget.
+bool job_book::ends_in_one_step(const job& one) const {
+  constexpr std::size_t most = 8;
+  constexpr std::size_t head_and_final = 2;
+  const auto affordable = static_cast<std::size_t>(store_.write_rate() / 2);
+  const std::size_t operations = stored_parts(one) + head_and_final;
+  if (operations == head_and_final) return true;
+  return operations <= std::min({most, affordable, std::size_t{txn_operations_}});
 }
 
 job_book::outcome job_book::add_unit(commit& batch, const unit_name& unit, bool urgent) {
   job* one = find(unit.job);
   if (one == nullptr || !one->units[unit.unit].dirty()) return outcome::nothing_to_write;
   const bool head = unit.unit == 0;
-  // A large job's parts go first, and only once the final status is stored: a successor that finds
-  // the head without them must not take the tasks for unstarted.
-  if (head && one->leaving && one->large() && one->status_stored && parts_remain(*one))
+  const bool in_one_step = ends_in_one_step(*one);
+  if (head && one->leaving && in_one_step) return add_final(batch, *one, urgent);
+  // Of a very large job the parts go first, and only once the final status is stored: a successor
+  // that finds the head without them must not take the tasks for unstarted.
+  if (head && one->leaving && one->status_stored) {
+    for (std::size_t part = 1; part < one->units.size(); ++part) {
+      if (one->units[part].version != 0) changes_.add_urgent({unit.job, part});
+    }
     return outcome::not_yet;
+  }
   const bool part_goes = !head && one->leaving;
-  if (part_goes && !one->status_stored) return outcome::not_yet;
-  const bool final_record = head && one->leaving && (!one->large() || one->status_stored);
-  const double cost = final_record ? 2 : 1;
-  if (batch.budget < cost) return outcome::no_room;
+  if (part_goes && (in_one_step || !one->status_stored))
+    return in_one_step ? outcome::nothing_to_write : outcome::not_yet;
+  if (batch.budget < 1) return outcome::no_room;
   auto& state = one->units[unit.unit];
   const std::string key = head ? head_key(unit.job) : part_key(unit.job, unit.unit);
-  if (final_record) {
-    batch.conditions.push_back({final_key(unit.job), 0});
-    batch.operations.push_back({key, {}, 0, true});
-    batch.operations.push_back({final_key(unit.job), write_final(*one), 0, false});
-  } else if (part_goes) {
+  if (part_goes) {
     batch.operations.push_back({key, {}, 0, true});
   } else {
     const outcome result = add_value(batch, unit, *one);
     if (result != outcome::added) return result;
   }
   batch.conditions.push_back({key, state.version});
+  batch.budget -= 1;
+  batch.pieces.push_back({unit, state.mutation, false, part_goes, urgent});
+  return outcome::added;
+}
+
+job_book::outcome job_book::add_final(commit& batch, job& one, bool urgent) {
+  const std::string& id = one.spec.id;
+  const auto cost = static_cast<double>(stored_parts(one) + 2);
+  if (batch.budget < cost) return outcome::no_room;
+  for (std::size_t unit = 0; unit < one.units.size(); ++unit) {
+    const auto& state = one.units[unit];
+    if (unit != 0 && state.version == 0) continue;
+    const std::string key = unit == 0 ? head_key(id) : part_key(id, unit);
+    batch.conditions.push_back({key, state.version});
+    batch.operations.push_back({key, {}, 0, true});
+    batch.pieces.push_back({{id, unit}, state.mutation, unit == 0, true, urgent});
+  }
+  batch.conditions.push_back({final_key(id), 0});
+  batch.operations.push_back({final_key(id), write_final(one), 0, false});
   batch.budget -= cost;
-  batch.pieces.push_back({unit, state.mutation, final_record, final_record || part_goes, urgent});
   return outcome::added;
 }
 
--- a/src/store/job_book.hpp
+++ b/src/store/job_book.hpp
@@ -70,6 +70,7 @@
     double budget = 0;  // operations it may still take
     std::size_t bytes = 0;
     std::size_t biggest_value = 0;
+    bool urgent_left = false;  // something urgent did not fit
     std::vector<condition> conditions;
     std::vector<operation> operations;
     std::vector<piece> pieces;
@@ -83,7 +84,10 @@
   void add_progress(commit& batch);
   outcome add_unit(commit& batch, const unit_name& unit, bool urgent);
   outcome add_value(commit& batch, const unit_name& unit, job& one);
-  bool parts_remain(const job& one) const;
+  static std::size_t stored_parts(const job& one);
+  bool ends_in_one_step(const job& one) const;
+  /// Head and parts go, and the final record comes, all in one transaction.
+  outcome add_final(commit& batch, job& one, bool urgent);
   void send(commit batch);
   void refused(const commit& batch, const result& answer);
   void refused_for_size(const commit& batch);
@@ -112,6 +116,7 @@
   change_queue changes_;
   std::unordered_map<std::string, std::vector<waiter>> waiters_;
   bool busy_ = false;
+  time_point last_starts_{};  // when starts were last written
   net::timer_id timer_ = 0;
   time_point timer_at_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -141,6 +141,69 @@
     EXPECT_NE(state.peek("gd/job/run-" + std::to_string(100 + i)), nullptr) << i;
 }
 
+// Starts and progress never end; with few writes a second they once left none for final states,
+// which need two at a time.
+TEST_F(falling_limits, final_states_come_before_starts_and_progress) {
+  const store::service_limits few{100, 12, 2, 8};
+  state.limit(few);
+  store::client scarce(runtime, "state:1", few, std::nullopt, {1, 1, 0.5});
+  store::job_book busy(
+      runtime, scarce, {"gd/leader", 0}, few,
+      {[](const std::string&) {},
+       [this](const std::string& id, const store::final_state&) { gone.push_back(id); }, [] {},
+       [] { return true; }});
+  for (int i = 0; i < 60; ++i) {
+    store::job one;
+    one.spec.id = "run-" + std::to_string(100 + i);
+    one.spec.tasks = 10000;
+    one.units.resize(1);
+    one.unit_tasks = 10000;
+    busy.insert(one);
+  }
+  for (std::uint32_t tick = 0; tick < 2000; ++tick) {
+    net.after(milliseconds(10) * tick, [&busy, tick] {
+      store::job* one = busy.find("run-" + std::to_string(130 + tick % 30));
+      one->attempts[tick % 20] = {tick, "n-100000", 1};
+      busy.mark_start(*one, tick % 20);
+    });
+  }
+  for (int i = 0; i < 30; ++i) {
+    net.after(milliseconds(600) * i, [&busy, i] {
+      store::job* one = busy.find("run-" + std::to_string(100 + i));
+      one->status = store::job_status::done;
+      busy.retire(*one);
+    });
+  }
+  net.run_for(seconds(19));
+  EXPECT_EQ(gone.size(), 30U);
+}
+
+TEST_F(falling_limits, a_large_job_ends_with_its_parts_in_one_step) {
+  make_book(narrow);
+  store::job one;
+  one.spec.id = "run-1";
+  one.spec.tasks = 100;
+  one.unit_tasks = 50;
+  one.units.resize(3);
+  store::job& large = book->insert(one);
+  for (const std::uint32_t task : {1U, 60U}) {
+    large.attempts[task] = {1, "n-100000", 1};
+    book->mark(large, task);
+  }
+  book->mark_head(large);
+  net.run_for(seconds(1));
+  EXPECT_NE(state.peek("gd/part/run-1/2"), nullptr);
+  large.attempts.clear();
+  large.status = store::job_status::done;
+  const std::size_t writes = state.writes_taken();
+  book->retire(large);
+  net.run_for(seconds(1));
+  EXPECT_EQ(gone, std::vector<std::string>{"run-1"});
+  EXPECT_EQ(state.peek("gd/part/run-1/1"), nullptr);
+  EXPECT_EQ(state.peek("gd/part/run-1/2"), nullptr);
+  EXPECT_EQ(state.writes_taken() - writes, 4U) << "head and two parts go, the final record comes";
+}
+
 TEST_F(falling_limits, rates_fall_to_the_announced_ones_after_a_refusal) {
   store::client busy(runtime, "state:1", {100, 50, 8, 24}, store::service_limits{100, 10, 2, 8},
                      {1, 1, 0.5});
