--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -13,7 +13,7 @@
 /// A timer this late means that the process stood still.
 constexpr auto stood_still = seconds(2);
 constexpr std::size_t many_machines = 20;
-constexpr auto knock_delay = milliseconds(4500);
+constexpr auto redirect_delay = milliseconds(4500);
 constexpr auto store_patience = seconds(2);
 constexpr auto forward_deadline = milliseconds(1200);
 constexpr auto stand_back = seconds(15);
@@ -30,7 +30,7 @@
 controller::controller(net::runtime& runtime, planner& plans, platform_settings platform,
                        operator_settings rules, std::uint64_t seed)
     : runtime_(runtime),
-      plans_(plans),
+      planner_(plans),
       platform_(std::move(platform)),
       rules_(std::move(rules)),
       store_(runtime, platform_.state, platform_.state_limits, platform_.announced_state_limits,
@@ -63,7 +63,7 @@
     if (leads() && front::valid_id(job)) term_->look_up(job);
   };
   talk.store_works = [this] { return store_works(); };
-  talk.reports_seen = [this] { return static_cast<std::uint64_t>(knocks_.size()); };
+  talk.reports_seen = [this] { return static_cast<std::uint64_t>(redirected_reports_.size()); };
   talk.leader = [this] {
     return std::make_pair(elector_->leader().node, elector_->leader().token);
   };
@@ -97,8 +97,8 @@
   };
   events.remembered = [this](const std::string& id) { return front_->remembered(id); };
   store_.set_write_share(leader_write_share);
-  term_ = std::make_unique<term>(runtime_, store_, platform_, rules_, token, leader, types_, plans_,
-                                 numbers_, std::move(events));
+  term_ = std::make_unique<term>(runtime_, store_, platform_, rules_, token, leader, types_,
+                                 planner_, metrics_, std::move(events));
   term_->start();
 }
 
@@ -227,14 +227,15 @@
   if (now - watched_ > stood_still)
     spdlog::info("this process stood still for_s={:.1f}", to_seconds(now - watched_));
   watched_ = now;
-  std::erase_if(knocks_, [&](time_point at) { return now - at > platform_.report * 2; });
+  std::erase_if(redirected_reports_,
+                [&](time_point at) { return now - at > platform_.report * 2; });
   if (!leads() || term_->machines() == 0) return;
   // Of many machines one at least reports in each period, give or take a quarter, so their silence
   // is told sooner; a worker that gets no answer knocks elsewhere after 4 s. Workers still on their
   // way to a new leader get the longer time.
   duration patience = platform_.report * 2 + seconds(1);
   if (term_->machines() >= many_machines && term_->heard_workers())
-    patience = std::min<duration>(patience, std::max<duration>(platform_.report, knock_delay));
+    patience = std::min<duration>(patience, std::max<duration>(platform_.report, redirect_delay));
   if (now - term_->last_report() < patience) return;
   for (const auto& [name, peer] : mesh_->peers()) {
     if (!mesh_->heard_lately(peer) || peer.reports_seen == 0) continue;
@@ -250,17 +251,17 @@
       reply({405, front::write_error("method not allowed"), std::nullopt, false});
       return;
     }
-    const stopwatch watch(numbers_.on_reports);
+    const stopwatch watch(metrics_.on_reports);
     report(message, reply);
     return;
   }
-  ++numbers_.users;
-  const stopwatch watch(numbers_.on_users);
+  ++metrics_.users;
+  const stopwatch watch(metrics_.on_users);
   front_->handle(message, false, reply);
 }
 
 void controller::handle_mesh(const net::request& message, const net::reply_fn& reply) {
-  const stopwatch watch(numbers_.on_peers);
+  const stopwatch watch(metrics_.on_peers);
   mesh_->handle(message, reply);
 }
 
@@ -272,9 +273,9 @@
         return;
       }
     }
-    ++numbers_.redirected;
-    constexpr std::size_t most_knocks = 1000;
-    if (knocks_.size() < most_knocks) knocks_.push_back(runtime_.now());
+    ++metrics_.redirected;
+    constexpr std::size_t most_redirected = 1000;
+    if (redirected_reports_.size() < most_redirected) redirected_reports_.push_back(runtime_.now());
     const auto& leader = elector_->leader();
     reply({421, workers::redirect(leader.node == platform_.node ? "" : leader.node), std::nullopt,
            false});
@@ -286,7 +287,7 @@
     reply({400, front::write_error("malformed report"), std::nullopt, false});
     return;
   }
-  ++numbers_.reports;
+  ++metrics_.reports;
   term_->report(std::move(*said), [reply](std::string answer) {
     if (answer.empty()) {
       reply({421, workers::redirect(""), std::nullopt, false});
@@ -320,20 +321,20 @@
                         {"leader", elector_->leader().node},
                         {"leads", leads()},
                         {"store_works", store_works()},
-                        {"reports", numbers_.reports},
-                        {"redirected", numbers_.redirected},
-                        {"starts", numbers_.starts},
-                        {"preemptions", numbers_.preemptions},
-                        {"upgrades", numbers_.upgrades},
-                        {"passes", numbers_.passes.summary()},
-                        {"users", numbers_.users},
+                        {"reports", metrics_.reports},
+                        {"redirected", metrics_.redirected},
+                        {"starts", metrics_.starts},
+                        {"preemptions", metrics_.preemptions},
+                        {"upgrades", metrics_.upgrades},
+                        {"passes", metrics_.passes.summary()},
+                        {"users", metrics_.users},
                         {"spent_s",
-                         {{"reports", to_seconds(numbers_.on_reports)},
-                          {"users", to_seconds(numbers_.on_users)},
-                          {"peers", to_seconds(numbers_.on_peers)},
-                          {"views", to_seconds(numbers_.on_views)},
-                          {"passes", to_seconds(numbers_.passes.total())},
-                          {"orders", to_seconds(numbers_.on_orders)}}}};
+                         {{"reports", to_seconds(metrics_.on_reports)},
+                          {"users", to_seconds(metrics_.on_users)},
+                          {"peers", to_seconds(metrics_.on_peers)},
+                          {"views", to_seconds(metrics_.on_views)},
+                          {"passes", to_seconds(metrics_.passes.total())},
+                          {"orders", to_seconds(metrics_.on_orders)}}}};
   for (const auto& [name, peer] : mesh_->peers()) {
     out["peers"][name] = {{"heard", mesh_->heard_lately(peer)}, {"store_works", peer.store_works}};
   }
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -52,10 +52,10 @@
   bool store_works() const;
 
   net::runtime& runtime_;
-  planner& plans_;
+  planner& planner_;
   const platform_settings platform_;
   const operator_settings rules_;
-  metrics numbers_;
+  metrics metrics_;
   store::client store_;
   std::unique_ptr<front::user_interface> front_;
   std::unique_ptr<mesh::link> mesh_;
@@ -64,8 +64,8 @@
   std::unique_ptr<upgrade::version_registry> versions_;
   std::unique_ptr<term> term_;
   std::vector<admission::machine_type> types_;
-  time_point watched_{};            // when watch_over last ran
-  std::vector<time_point> knocks_;  // reports of workers this node redirected lately
+  time_point watched_{};                        // when watch_over last ran
+  std::vector<time_point> redirected_reports_;  // reports of workers this node redirected lately
   net::timer_id types_timer_ = 0;
   net::timer_id watch_timer_ = 0;
   net::timer_id account_timer_ = 0;
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -54,15 +54,15 @@
 
 term::term(net::runtime& runtime, store::client& store, const platform_settings& platform,
            const operator_settings& rules, std::uint64_t token, const store::condition& leader,
-           std::vector<admission::machine_type> types, planner& plans, metrics& numbers,
+           std::vector<admission::machine_type> types, planner& plans, metrics& measured,
            hooks events)
     : runtime_(runtime),
       store_(store),
       platform_(platform),
       rules_(rules),
       token_(token),
-      plans_(plans),
-      numbers_(numbers),
+      planner_(plans),
+      metrics_(measured),
       events_(std::move(events)),
       book_(runtime, store, leader,
             store::writable_sizes(platform.state_limits, platform.announced_state_limits),
@@ -384,20 +384,20 @@
   ++passes_begun_;
   dirty_ = false;
   last_pass_ = runtime_.now();
-  plans_.plan(token_, timed_picture(),
-              [this, alive = alive_](const admission::decisions& made, duration took) {
-                if (!*alive) return;
-                planning_ = false;
-                ++passes_done_;
-                numbers_.passes.add(took);
-                if (events_.valid()) {
-                  const stopwatch watch(numbers_.on_orders);
-                  apply(made);
-                }
-                pass_took_ = runtime_.now() - last_pass_;
-                answer_kept();
-                if (dirty_) changed();
-              });
+  planner_.plan(token_, timed_picture(),
+                [this, alive = alive_](const admission::decisions& made, duration took) {
+                  if (!*alive) return;
+                  planning_ = false;
+                  ++passes_done_;
+                  metrics_.passes.add(took);
+                  if (events_.valid()) {
+                    const stopwatch watch(metrics_.on_orders);
+                    apply(made);
+                  }
+                  pass_took_ = runtime_.now() - last_pass_;
+                  answer_kept();
+                  if (dirty_) changed();
+                });
 }
 
 /// The world may have moved on since the snapshot: every decision is checked against the present.
@@ -406,7 +406,7 @@
       one.attempts.count(task) != 0)
     return false;
   return workers_.takes_tasks(at) && !fleet_.releasing(at.name) &&
-         at.strangers.count({one.spec.id, task}) == 0;
+         at.unknown_tasks.count({one.spec.id, task}) == 0;
 }
 
 void term::apply(const admission::decisions& made) {
@@ -441,7 +441,7 @@
       const std::uint64_t number = one->spec.gang ? one->gang_try : unit.next_try;
       unit.next_try = std::max(unit.next_try, number + 1);
       workers_.place(*one, task, made.starts[k].machine, number);
-      ++numbers_.starts;
+      ++metrics_.starts;
       spdlog::debug("place job={} task={} try={} machine={} term={}", id, task, number,
                     made.starts[k].machine, token_);
     }
@@ -450,7 +450,7 @@
     job* one = book_.find(stop.job);
     if (one == nullptr) continue;
     const bool upgrade = stop.reason == admission::stop_reason::upgraded;
-    ++(upgrade ? numbers_.upgrades : numbers_.preemptions);
+    ++(upgrade ? metrics_.upgrades : metrics_.preemptions);
     spdlog::info("{} job={} tasks={} for={} term={}", upgrade ? "upgrade" : "preempt", stop.job,
                  stop.tasks.size(), stop.for_job, token_);
     const duration grace = one->spec.save + seconds(2);
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -32,7 +32,7 @@
   };
   term(net::runtime& runtime, store::client& store, const platform_settings& platform,
        const operator_settings& rules, std::uint64_t token, const store::condition& leader,
-       std::vector<admission::machine_type> types, planner& plans, metrics& numbers, hooks events);
+       std::vector<admission::machine_type> types, planner& plans, metrics& measured, hooks events);
   ~term() override;
   term(const term&) = delete;
   term& operator=(const term&) = delete;
@@ -102,8 +102,8 @@
   const platform_settings& platform_;
   const operator_settings& rules_;
   std::uint64_t token_;
-  planner& plans_;
-  metrics& numbers_;
+  planner& planner_;
+  metrics& metrics_;
   hooks events_;
   store::job_book book_;
   dependencies::tracker dependencies_;
--- a/src/daemon/term_machines.cpp
+++ b/src/daemon/term_machines.cpp
@@ -151,7 +151,7 @@
       fleet_.release(name, "answers don't reach it");
       continue;
     }
-    if (!at.attempts.empty() || at.strangers_run) continue;
+    if (!at.attempts.empty() || at.unknown_tasks_run) continue;
     // Behind a cut its tasks are over with their lease, but it is no more idle than it was.
     if (workers_.silent(at) && allowance(at.where.zone) > duration::zero()) continue;
     if (at.sick_since) {
--- a/src/daemon/term_views.cpp
+++ b/src/daemon/term_views.cpp
@@ -104,7 +104,7 @@
 }
 
 admission::snapshot term::timed_picture() {
-  const stopwatch watch(numbers_.on_views);
+  const stopwatch watch(metrics_.on_views);
   return picture();
 }
 
--- a/src/leadership/elector.cpp
+++ b/src/leadership/elector.cpp
@@ -18,7 +18,7 @@
                  hooks events)
     : runtime_(runtime),
       store_(store),
-      how_(std::move(how)),
+      options_(std::move(how)),
       events_(std::move(events)),
       random_(seed),
       incarnation_(std::to_string(random_())) {}
@@ -39,7 +39,7 @@
 bool elector::valid() const { return in_office_ && runtime_.now() < valid_until_; }
 
 bool elector::keeps_workers() const {
-  return in_office_ && runtime_.now() < valid_until_ + how_.keeper_grace;
+  return in_office_ && runtime_.now() < valid_until_ + options_.keeper_grace;
 }
 
 void elector::look_later(duration delay) {
@@ -72,14 +72,14 @@
       leader_.node = entry.value.at("node").get<std::string>();
       leader_.token = entry.value.at("token").get<std::uint64_t>();
       const auto incarnation = entry.value.at("incarnation").get<std::string>();
-      if (leader_.node == how_.node && incarnation != incarnation_) {
+      if (leader_.node == options_.node && incarnation != incarnation_) {
         // Our former process held it; that process has ended, since one runs per node. Taking its
         // key over at once saves waiting for its lease to run out.
         leader_.node.clear();
         campaign(entry.version);
         return;
       }
-      if (leader_.node == how_.node) {
+      if (leader_.node == options_.node) {
         // A campaign of ours that went unanswered was applied late. Its lease is not renewed.
         leader_.node.clear();
         look_later(milliseconds(200));
@@ -102,7 +102,7 @@
 }
 
 void elector::campaign(std::uint64_t stale_version) {
-  store_.grant(how_.lease, [this, stale_version, alive = alive_](const store::result& granted) {
+  store_.grant(options_.lease, [this, stale_version, alive = alive_](const store::result& granted) {
     if (!*alive || in_office_) return;
     if (!granted.ok() || granted.lease == 0) {
       look_later(milliseconds(200) + jitter(milliseconds(200)));
@@ -113,47 +113,48 @@
 }
 
 void elector::take(std::uint64_t lease, time_point sent, std::uint64_t stale_version) {
-  store_.get(token_key, [this, lease, sent, stale_version,
-                         alive = alive_](const store::result& current) {
-    if (!*alive || in_office_) return;
-    std::uint64_t token = 1;
-    std::uint64_t version = 0;
-    if (current.ok() && !current.entries.empty()) {
-      token = store::number_field(current.entries.front().value, "token") + 1;
-      version = current.entries.front().version;
-    } else if (current.status != 404) {
-      store_.drop(lease, [](const store::result&) {});
-      look_later(milliseconds(200) + jitter(milliseconds(200)));
-      return;
-    }
-    const store::json record = {
-        {"node", how_.node}, {"token", token}, {"incarnation", incarnation_}};
-    store_.txn({{leader_key, stale_version}, {token_key, version}},
-               {{leader_key, record, lease, false}, {token_key, {{"token", token}}, 0, false}},
-               [this, lease, sent, token, alive](const store::result& answer) {
-                 if (!*alive || in_office_) return;
-                 if (!answer.ok()) {
-                   // It may still be applied: without its lease it can't be, or won't last.
-                   store_.drop(lease, [](const store::result&) {});
-                   look_later(milliseconds(50) + jitter(milliseconds(150)));
-                   return;
-                 }
-                 in_office_ = true;
-                 ++term_;
-                 token_ = token;
-                 lease_ = lease;
-                 condition_ = {leader_key, answer.revision};
-                 leader_ = {how_.node, token};
-                 valid_until_ = sent + from_seconds(to_seconds(how_.lease) * (1 - drift)) - margin;
-                 spdlog::info("elected term={} lease={}", token_, lease_);
-                 keep();
-                 events_.elected(token_, condition_);
-               });
-  });
+  store_.get(
+      token_key, [this, lease, sent, stale_version, alive = alive_](const store::result& current) {
+        if (!*alive || in_office_) return;
+        std::uint64_t token = 1;
+        std::uint64_t version = 0;
+        if (current.ok() && !current.entries.empty()) {
+          token = store::number_field(current.entries.front().value, "token") + 1;
+          version = current.entries.front().version;
+        } else if (current.status != 404) {
+          store_.drop(lease, [](const store::result&) {});
+          look_later(milliseconds(200) + jitter(milliseconds(200)));
+          return;
+        }
+        const store::json record = {
+            {"node", options_.node}, {"token", token}, {"incarnation", incarnation_}};
+        store_.txn({{leader_key, stale_version}, {token_key, version}},
+                   {{leader_key, record, lease, false}, {token_key, {{"token", token}}, 0, false}},
+                   [this, lease, sent, token, alive](const store::result& answer) {
+                     if (!*alive || in_office_) return;
+                     if (!answer.ok()) {
+                       // It may still be applied: without its lease it can't be, or won't last.
+                       store_.drop(lease, [](const store::result&) {});
+                       look_later(milliseconds(50) + jitter(milliseconds(150)));
+                       return;
+                     }
+                     in_office_ = true;
+                     ++term_;
+                     token_ = token;
+                     lease_ = lease;
+                     condition_ = {leader_key, answer.revision};
+                     leader_ = {options_.node, token};
+                     valid_until_ =
+                         sent + from_seconds(to_seconds(options_.lease) * (1 - drift)) - margin;
+                     spdlog::info("elected term={} lease={}", token_, lease_);
+                     keep();
+                     events_.elected(token_, condition_);
+                   });
+      });
 }
 
 void elector::keep() {
-  const duration period = how_.lease / 5;
+  const duration period = options_.lease / 5;
   keeper_ = runtime_.after(period, [this, period] {
     keeper_ = 0;
     if (!in_office_) return;
@@ -168,7 +169,7 @@
         const bool back = !valid();
         valid_until_ =
             std::max(valid_until_,
-                     answer.sent + from_seconds(to_seconds(how_.lease) * (1 - drift)) - margin);
+                     answer.sent + from_seconds(to_seconds(options_.lease) * (1 - drift)) - margin);
         if (back && valid()) spdlog::info("lease held again term={}", token_);
       } else if (answer.status == 404) {
         step_down("the lease has ended");
@@ -183,7 +184,7 @@
 void elector::found_deposed() { step_down("the leader key is another's"); }
 
 void elector::heard(const std::string& node, std::uint64_t token) {
-  if (node == how_.node) return;
+  if (node == options_.node) return;
   if (in_office_) {
     if (token <= token_) return;
     step_down("a peer knows of a successor");
--- a/src/leadership/elector.hpp
+++ b/src/leadership/elector.hpp
@@ -68,7 +68,7 @@
 
   net::runtime& runtime_;
   store::client& store_;
-  options how_;
+  options options_;
   hooks events_;
   std::mt19937_64 random_;
   std::string incarnation_;
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -30,7 +30,7 @@
                    hooks events)
     : runtime_(runtime),
       book_(book),
-      how_(how),
+      options_(how),
       token_(token),
       events_(std::move(events)),
       term_start_(runtime.now()) {}
@@ -52,15 +52,15 @@
 }
 
 bool registry::silent(const worker& one) const {
-  return !one.reported || runtime_.now() - one.last_report > how_.report * 3;
+  return !one.reported || runtime_.now() - one.last_report > options_.report * 3;
 }
 
 /// A worker that has not shown our token has not received a word of ours: its report may be a late
 /// copy from an earlier term, or its machine may hear nothing. One that was rented in this term has
 /// no earlier reports, and is not kept waiting for a second one.
 bool registry::takes_tasks(const worker& one) const {
-  return !silent(one) && !one.notice && !one.sick_since && !one.strangers_run && !one.deaf_since &&
-         (one.token == token_ || one.newborn);
+  return !silent(one) && !one.notice && !one.sick_since && !one.unknown_tasks_run &&
+         !one.deaf_since && (one.token == token_ || one.just_rented);
 }
 
 /// Reports arrive, but there is a sign that answers don't: nothing is placed there until the
@@ -129,7 +129,7 @@
   from.last_report = now;
   from.seq = said.seq;
   from.token = said.token;
-  from.newborn = said.token == 0 && events_.rented_now(said.machine);
+  from.just_rented = said.token == 0 && events_.rented_in_term(said.machine);
   from.notice = said.notice;
   if (said.session > from.session) {
     // Its lease ran out although it reports here. Of a machine known for long this is a sign.
@@ -164,8 +164,8 @@
 void registry::apply(worker& from, const report& said, std::vector<command>& out) {
   std::set<std::pair<std::string, std::uint32_t>> present;
   decltype(from.exits) still_listed;
-  from.strangers.clear();
-  from.strangers_run = false;
+  from.unknown_tasks.clear();
+  from.unknown_tasks_run = false;
   for (const auto& item : said.tasks) {
     const auto key = std::make_pair(item.job, item.task);
     job* one = book_.find(item.job);
@@ -197,7 +197,7 @@
           (one->attempts.count(item.task) != 0 &&
            one->attempts.at(item.task).number != item.number);
       if (stored) out.push_back({verb::forget, item.job, item.task, item.number, {}});
-      from.strangers.insert(key);
+      from.unknown_tasks.insert(key);
       continue;
     }
     const attempt* ours = nullptr;
@@ -209,8 +209,8 @@
     }
     if (ours == nullptr) {
       out.push_back({verb::stop, item.job, item.task, item.number, {}});
-      from.strangers.insert(key);
-      from.strangers_run = true;
+      from.unknown_tasks.insert(key);
+      from.unknown_tasks_run = true;
     } else if (ours->stopping) {
       out.push_back({verb::stop, item.job, item.task, item.number, ours->grace});
     }
@@ -383,8 +383,8 @@
   if (one.errors.size() >= broken_machines) {
     const auto doublings = std::min(one.error_rounds, most_backoff_doublings);
     ++one.error_rounds;
-    one.not_before = runtime_.now() +
-                     std::min<duration>(how_.broken_backoff * (1 << doublings), longest_backoff);
+    one.not_before = runtime_.now() + std::min<duration>(options_.broken_backoff * (1 << doublings),
+                                                         longest_backoff);
     one.errors.clear();
     spdlog::info("job fails everywhere job={} round={}", one.spec.id, one.error_rounds);
   } else {
@@ -400,14 +400,14 @@
     return;
   }
   at.failed_jobs.insert(one.spec.id);
-  if (!at.sick_since && at.failed_jobs.size() >= how_.sick_jobs) mark_sick(at);
+  if (!at.sick_since && at.failed_jobs.size() >= options_.sick_jobs) mark_sick(at);
 }
 
 /// The job fails elsewhere too. Two broken jobs that met on one machine first had it returned
 /// before either had been tried on another.
 void registry::clear_of_suspicion(worker& one, const std::string& job) {
   one.failed_jobs.erase(job);
-  if (!one.sick_since || one.failed_jobs.size() >= how_.sick_jobs) return;
+  if (!one.sick_since || one.failed_jobs.size() >= options_.sick_jobs) return;
   spdlog::info("machine is well after all machine={}", one.name);
   one.sick_since.reset();
   one.view.reset();
@@ -506,9 +506,9 @@
 }
 
 void registry::check_leases(time_point quiet_from, time_point confirmed) {
-  const duration lease = from_seconds(to_seconds(how_.lease) * (1 + drift)) + lease_margin;
+  const duration lease = from_seconds(to_seconds(options_.lease) * (1 + drift)) + lease_margin;
   // A deposed leader may have answered a worker up to the end of its grace.
-  if (confirmed < term_start_ + how_.keeper_grace + lease) return;
+  if (confirmed < term_start_ + options_.keeper_grace + lease) return;
   // A deputy in a cut-off zone may have answered it until it said that it no longer does.
   if (confirmed < quiet_from + lease) return;
   for (auto& [name, at] : workers_) {
--- a/src/workers/registry.hpp
+++ b/src/workers/registry.hpp
@@ -30,16 +30,16 @@
   time_point last_report{};
   time_point last_answer{};
   std::optional<duration> notice;
-  std::set<std::pair<std::string, std::uint32_t>> attempts;   // ours, not proven gone
-  std::set<std::pair<std::string, std::uint32_t>> strangers;  // listed, but not ours
-  bool strangers_run = false;
+  std::set<std::pair<std::string, std::uint32_t>> attempts;       // ours, not proven gone
+  std::set<std::pair<std::string, std::uint32_t>> unknown_tasks;  // listed, but not ours
+  bool unknown_tasks_run = false;
   /// Exits dealt with, and the change of the record that has to be stored before the worker may
   /// forget them: job, task, number of the try.
   std::map<std::tuple<std::string, std::uint32_t, std::uint64_t>, std::uint64_t> exits;
   std::deque<std::pair<std::string, double>> images;  // most recently used first
   std::set<std::string> failed_jobs;                  // ended with an error here, none done since
   std::optional<time_point> sick_since;               // several jobs failed here and nowhere else
-  bool newborn = false;                  // rented in this term, and has heard nobody yet
+  bool just_rented = false;              // rented in this term, and has heard nobody yet
   std::optional<time_point> deaf_since;  // answers may not reach it
   time_point next_probe{};
   time_point idle_since{};
@@ -54,7 +54,7 @@
     std::function<bool()> valid;    // the leader's lease is surely held
     std::function<void()> changed;  // something a scheduling pass should know
     std::function<double(const std::string& type)> cache_gb;
-    std::function<bool(const std::string& machine)> rented_now;  // in this term
+    std::function<bool(const std::string& machine)> rented_in_term;  // in this term
   };
   registry(net::runtime& runtime, store::job_book& book, options how, std::uint64_t token,
            hooks events);
@@ -109,7 +109,7 @@
 
   net::runtime& runtime_;
   store::job_book& book_;
-  options how_;
+  options options_;
   std::uint64_t token_;
   hooks events_;
   time_point term_start_;
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -26,7 +26,7 @@
               [] {}, [this] { return valid; }}),
         registry(runtime, book, {seconds(1), seconds(6), seconds(5), 2, seconds(10)}, our_token,
                  {[this] { return valid; }, [] {}, [](const std::string&) { return 50.0; },
-                  [this](const std::string&) { return rented_now; }}) {
+                  [this](const std::string&) { return rented_in_term; }}) {
     store::job one;
     one.spec.id = "run-1";
     one.spec.team = "red";
@@ -63,7 +63,7 @@
   const store::service_limits limits{100, 50, 8, 24};
   store::client client;
   bool valid = true;
-  bool rented_now = false;
+  bool rented_in_term = false;
   store::job_book book;
   workers::registry registry;
 };
@@ -246,7 +246,7 @@
 }
 
 TEST_F(proofs, a_machine_rented_in_this_term_is_used_from_its_first_report_on) {
-  rented_now = true;
+  rented_in_term = true;
   registry.handle(report(3, 1, 0));
   EXPECT_TRUE(registry.takes_tasks(*registry.find("m")));
 }
