Tests: what is derived while the store is away, and dependencies during an upgrade

The two tests of the tracker passed with their guards removed (done and cancelled counted before they are stored); a job that comes while the leader alone knows of the end now shows it.

--- a/tests/dependencies_test.cpp
+++ b/tests/dependencies_test.cpp
@@ -227,6 +227,39 @@
   EXPECT_EQ(answer(), 503);
 }
 
+// A former version would leave such a job waiting while it led, and call it unknown.
+TEST(submissions_during_an_upgrade,
+     with_dependencies_are_taken_once_every_controller_supports_them) {
+  sim_service service(7, 3, {}, version::production);
+  sim_job first;
+  first.id = "run-1";
+  first.team = "red";
+  first.run_s = 1000;
+  service.net.after(seconds(5), [&] { service.site.submit(first); });
+  service.net.run_for(seconds(10));
+  sim_job next = first;
+  next.id = "run-50";
+  next.awaits = {"run-1"};
+  service.site.jobs[next.id] = next;
+  const auto submit = [&] {
+    int status = 0;
+    service.net.call("users", service.site.nodes[0], {"POST", "/work", next.body()}, seconds(5),
+                     [&](const net::response& reply) { status = reply.status; });
+    service.net.run_for(seconds(5));
+    return status;
+  };
+  service.upgrade(0, seconds(1));
+  service.net.run_for(seconds(10));
+  EXPECT_EQ(submit(), 503);
+  service.upgrade(1, seconds(1));
+  service.net.run_for(seconds(10));
+  EXPECT_EQ(submit(), 503) << "one is still old";
+  EXPECT_EQ(service.state.peek("gd/job/run-50"), nullptr);
+  service.upgrade(2, seconds(1));
+  service.net.run_for(seconds(10));
+  EXPECT_EQ(submit(), 201);
+}
+
 // A list longer than a value: it goes into keys of its own, is read back by a successor, and the
 // job waits for every one of its names.
 TEST_F(submissions_with_dependencies, a_list_larger_than_a_record) {
--- a/tests/dependency_tracker_test.cpp
+++ b/tests/dependency_tracker_test.cpp
@@ -63,8 +63,10 @@
   const store::job& next = add("run-2", {"run-1"});
   state.outage(seconds(5));
   end(first, store::job_status::done);
+  const store::job& late = add("run-3", {"run-1"});
   net.run_for(seconds(4));
   EXPECT_TRUE(next.waiting);
+  EXPECT_TRUE(late.waiting) << "though it came when the leader knew of the end";
   net.run_for(seconds(4));
   EXPECT_TRUE(over("run-1"));
   EXPECT_FALSE(next.waiting);
@@ -79,11 +81,14 @@
   add("run-3", {"run-2"});
   state.outage(seconds(5));
   end(first, store::job_status::cancelled);
+  const store::job& late = add("run-4", {"run-1"});
   net.run_for(seconds(4));
   EXPECT_EQ(next.status, store::job_status::active);
+  EXPECT_EQ(late.status, store::job_status::active) << "though it came when the leader knew";
   net.run_for(seconds(4));
   EXPECT_TRUE(over("run-2"));
   EXPECT_TRUE(over("run-3"));
+  EXPECT_TRUE(over("run-4"));
 }
 
 TEST_F(waiting_jobs, that_ended_long_ago_are_read_from_their_final_records) {
