--- a/tests/dependency_tracker_test.cpp
+++ b/tests/dependency_tracker_test.cpp
@@ -63,6 +63,7 @@
   const store::job& next = add("run-2", {"run-1"});
   state.outage(seconds(5));
   end(first, store::job_status::done);
+  tracker.job_stored("run-1");  // an earlier change of it, not its end
   const store::job& late = add("run-3", {"run-1"});
   net.run_for(seconds(4));
   EXPECT_TRUE(next.waiting);
@@ -81,6 +82,7 @@
   add("run-3", {"run-2"});
   state.outage(seconds(5));
   end(first, store::job_status::cancelled);
+  tracker.job_stored("run-1");  // an earlier change of it, not its end
   const store::job& late = add("run-4", {"run-1"});
   net.run_for(seconds(4));
   EXPECT_EQ(next.status, store::job_status::active);
