--- a/tests/support/sim_site.hpp
+++ b/tests/support/sim_site.hpp
@@ -199,7 +199,7 @@
 
   std::map<std::string, time_point> cancelled_at_;
   std::map<std::string, time_point> accepted_at_;
-  bool has_dependents_ = false;  // some job needs others
+  bool has_dependents_ = false;                 // some job needs others
   std::map<std::string, time_point> final_at_;  // when the first final answer came
   std::set<std::string> polled_;
   std::set<std::string> withdrawn_;  // their users have asked for it
