--- a/src/dependencies/graph.cpp
+++ b/src/dependencies/graph.cpp
@@ -14,6 +14,8 @@
     node& mine = nodes_[job];
     mine.waits = true;
     mine.own = level;
+    mine.progress = job_progress::unfinished;
+    unknown_.erase(job);
     ++waiting_;
   }
   bool doomed = false;
--- /dev/null
+++ b/tests/dependencies_test.cpp
@@ -0,0 +1,262 @@
+// Dependencies between jobs: the graph alone, and what users are told of wrong lists.
+#include <gtest/gtest.h>
+
+#include "dependencies/graph.hpp"
+#include "support/sim_service.hpp"
+
+namespace gingerdrift::testing {
+
+using admission::priority;
+using dependencies::graph;
+using dependencies::job_progress;
+using names = std::vector<std::string>;
+
+TEST(dependency_graph, a_diamond_is_ready_once_both_sides_are_done) {
+  graph jobs;
+  jobs.add("left", priority::low, {"root"});
+  jobs.add("right", priority::low, {"root"});
+  jobs.add("end", priority::low, {"left", "right"});
+  EXPECT_EQ(jobs.unknown(), names({"root"})) << "what waits is known to be unfinished";
+  EXPECT_EQ(jobs.set_progress("root", job_progress::done).ready, names({"left", "right"}));
+  EXPECT_TRUE(jobs.set_progress("left", job_progress::done).ready.empty());
+  EXPECT_TRUE(jobs.waits("end"));
+  EXPECT_EQ(jobs.set_progress("right", job_progress::done).ready, names({"end"}));
+  EXPECT_EQ(jobs.waiting_jobs(), 0U);
+}
+
+TEST(dependency_graph, a_cancellation_reaches_every_descendant_once) {
+  graph jobs;
+  jobs.add("left", priority::low, {"root"});
+  jobs.add("right", priority::low, {"root", "other"});
+  jobs.add("end", priority::low, {"left", "right"});
+  jobs.add("beside", priority::low, {"other"});
+  const auto changes = jobs.set_progress("root", job_progress::cancelled);
+  EXPECT_EQ(changes.cancelled, names({"left", "right", "end"}));
+  EXPECT_TRUE(jobs.waits("beside"));
+  EXPECT_EQ(jobs.waiting_jobs(), 1U);
+  EXPECT_EQ(jobs.set_progress("other", job_progress::done).ready, names({"beside"}));
+}
+
+TEST(dependency_graph, who_names_a_cancelled_job_is_cancelled) {
+  graph jobs;
+  jobs.add("first", priority::low, {"root", "live"});
+  EXPECT_EQ(jobs.set_progress("root", job_progress::cancelled).cancelled, names({"first"}));
+  jobs.add("keeps", priority::low, {"live"});
+  jobs.add("late", priority::low, {"live", "root"});
+  EXPECT_EQ(jobs.set_progress("root", job_progress::cancelled).cancelled, names({"late"}));
+  EXPECT_TRUE(jobs.waits("keeps"));
+}
+
+TEST(dependency_graph, priorities_come_from_dependents_and_fall_back) {
+  graph jobs;
+  jobs.add("middle", priority::low, {"root"});
+  EXPECT_EQ(jobs.inherited_priority("root"), priority::low);
+  const auto raised = jobs.add("urgent", priority::high, {"middle"});
+  EXPECT_EQ(raised.priority, names({"middle", "root"}));
+  EXPECT_EQ(jobs.inherited_priority("root"), priority::high);
+  EXPECT_EQ(jobs.inherited_priority("middle"), priority::high);
+  EXPECT_TRUE(jobs.add("another", priority::standard, {"middle"}).priority.empty())
+      << "nothing changes for those that have a higher one";
+  const auto fallen = jobs.remove("urgent");
+  EXPECT_EQ(fallen.priority, names({"middle", "root"}));
+  EXPECT_EQ(jobs.inherited_priority("root"), priority::standard);
+}
+
+TEST(dependency_graph, nothing_is_certain_while_an_ancestor_is_unknown) {
+  graph jobs;
+  jobs.add("middle", priority::low, {"root"});
+  jobs.add("end", priority::low, {"middle"});
+  EXPECT_FALSE(jobs.ancestors_known("end")) << "its grandparent may be cancelled";
+  jobs.set_progress("root", job_progress::unfinished);
+  EXPECT_TRUE(jobs.ancestors_known("end"));
+  EXPECT_TRUE(jobs.unknown().empty());
+}
+
+TEST(dependency_graph, forgets_what_nobody_waits_for) {
+  graph jobs;
+  jobs.add("end", priority::high, {"root"});
+  EXPECT_TRUE(jobs.has_dependents("root"));
+  jobs.remove("end");
+  EXPECT_FALSE(jobs.has_dependents("root"));
+  EXPECT_TRUE(jobs.unknown().empty());
+}
+
+namespace {
+
+/// Asks one node, and waits for its answer.
+class submissions_with_dependencies : public ::testing::Test {
+ protected:
+  submissions_with_dependencies() : service(5) {
+    sim_job first;
+    first.id = "run-1";
+    first.team = "red";
+    first.tasks = 2;
+    first.run_s = 1000;
+    service.net.after(seconds(5), [this, first] { service.site.submit(first); });
+    service.net.run_for(seconds(8));
+  }
+  static json body(const std::string& id, const json& awaits) {
+    sim_job one;
+    one.id = id;
+    one.team = "blue";
+    json out = json::parse(one.body());
+    out["awaits"] = awaits;
+    return out;
+  }
+  net::response ask(const std::string& method, const std::string& target, const std::string& text,
+                    std::size_t node = 0) {
+    net::response answer;
+    service.net.call("users", service.site.nodes[node], {method, target, text}, seconds(5),
+                     [&](const net::response& reply) { answer = reply; });
+    service.net.run_for(seconds(5));
+    return answer;
+  }
+  int submit(const std::string& id, const json& awaits, std::size_t node = 0) {
+    return ask("POST", "/work", body(id, awaits).dump(), node).status;
+  }
+  std::string state_of(const std::string& id, std::size_t node = 0) {
+    const auto answer = ask("GET", "/work/" + id, "", node);
+    return answer.status == 200 ? json::parse(answer.body).at("status").get<std::string>()
+                                : std::to_string(answer.status);
+  }
+  /// The stand-in's machines have to know what they may run.
+  void expect_job(const std::string& id) {
+    sim_job one;
+    one.id = id;
+    one.team = "blue";
+    service.site.jobs[id] = one;
+  }
+
+  sim_service service;
+};
+
+}  // namespace
+
+TEST_F(submissions_with_dependencies, malformed_lists_are_refused) {
+  for (const json& wrong :
+       {json("run-1"), json{{"run-1", true}}, json({1, 2}), json({""}), json({nullptr}),
+        json({"run-" + std::string(300, '1')}), json({"job-1"}), json({"run-1", 5}), json(7)}) {
+    EXPECT_EQ(submit("run-50", wrong), 400) << wrong;
+  }
+  EXPECT_EQ(state_of("run-50"), "404");
+}
+
+TEST_F(submissions_with_dependencies, names_that_were_never_accepted_are_refused) {
+  for (std::size_t node = 0; node < 3; ++node) {
+    EXPECT_EQ(submit("run-50", {"run-1", "run-999"}, node), 422);
+    EXPECT_EQ(submit("run-50", {"run-50"}, node), 422) << "itself";
+  }
+  json many = json::array();
+  for (int i = 0; i < 4000; ++i) many.push_back("run-" + std::to_string(100000 + i));
+  EXPECT_EQ(submit("run-50", many), 422);
+  EXPECT_EQ(state_of("run-50"), "404");
+}
+
+TEST_F(submissions_with_dependencies, absent_null_and_empty_lists_are_as_before) {
+  for (const json& none : {json(nullptr), json::array()}) {
+    const std::string id = none.is_null() ? "run-51" : "run-52";
+    expect_job(id);
+    EXPECT_EQ(submit(id, none), 201);
+    EXPECT_NE(service.state.peek("gd/job/" + id), nullptr);
+    EXPECT_TRUE(service.state.peek("gd/job/" + id)->contains("spec"));
+  }
+}
+
+TEST_F(submissions_with_dependencies, a_repeat_is_answered_on_every_node_with_the_state) {
+  expect_job("run-50");
+  EXPECT_EQ(submit("run-50", {"run-1", "run-1"}), 201) << "names may be repeated";
+  for (std::size_t node = 0; node < 3; ++node) {
+    EXPECT_EQ(submit("run-50", {"run-1"}, node), 200);
+    EXPECT_EQ(state_of("run-50", node), "pending");
+  }
+  ask("POST", "/work/run-1/withdraw", "");
+  service.net.run_for(seconds(2));
+  for (std::size_t node = 0; node < 3; ++node) {
+    EXPECT_EQ(state_of("run-50", node), "cancelled");
+    EXPECT_EQ(submit("run-50", {"run-1"}, node), 200) << "whatever became of what it needs";
+  }
+  expect_job("run-51");
+  EXPECT_EQ(submit("run-51", {"run-1"}), 201) << "accepted, though what it needs is cancelled";
+  EXPECT_EQ(state_of("run-51"), "cancelled");
+}
+
+TEST_F(submissions_with_dependencies, a_waiting_job_can_be_cancelled_alone) {
+  expect_job("run-50");
+  expect_job("run-51");
+  EXPECT_EQ(submit("run-50", {"run-1"}), 201);
+  EXPECT_EQ(submit("run-51", {"run-50"}, 1), 201);
+  const auto answer = ask("POST", "/work/run-50/withdraw", "", 2);
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(state_of("run-50"), "cancelled");
+  EXPECT_EQ(state_of("run-51"), "cancelled");
+  EXPECT_EQ(state_of("run-1"), "running");
+}
+
+TEST_F(submissions_with_dependencies, without_the_store_the_answer_is_to_come_back) {
+  service.state.outage(seconds(30));
+  for (std::size_t node = 0; node < 3; ++node) EXPECT_EQ(submit("run-50", {"run-1"}, node), 503);
+}
+
+// A successor finds a chain in the records, each stage waiting for the one before.
+TEST_F(submissions_with_dependencies, a_chain_is_called_pending_again_after_a_takeover) {
+  for (int i = 50; i < 54; ++i) {
+    expect_job("run-" + std::to_string(i));
+    EXPECT_EQ(
+        submit("run-" + std::to_string(i), {i == 50 ? "run-1" : "run-" + std::to_string(i - 1)}),
+        201);
+  }
+  service.crash_for(*service.leader(), seconds(2));
+  service.net.run_for(seconds(12));
+  for (int i = 50; i < 54; ++i) EXPECT_EQ(state_of("run-" + std::to_string(i)), "pending") << i;
+}
+
+// Nobody but the leader knows all that a waiting job depends on.
+TEST_F(submissions_with_dependencies, without_a_leader_a_waiting_job_is_not_called_pending) {
+  expect_job("run-50");
+  EXPECT_EQ(submit("run-50", {"run-1"}), 201);
+  EXPECT_EQ(state_of("run-50"), "pending");
+  const auto leader = *service.leader();
+  service.crash(leader);
+  const auto answer = [&] {
+    net::response out;
+    service.net.call("users", service.site.nodes[(leader + 1) % 3], {"GET", "/work/run-50", ""},
+                     seconds(2), [&](const net::response& reply) { out = reply; });
+    service.net.run_for(milliseconds(100));
+    return out.status;
+  };
+  EXPECT_EQ(answer(), 503);
+}
+
+// A list longer than a value: it goes into keys of its own, is read back by a successor, and the
+// job waits for every one of its names.
+TEST_F(submissions_with_dependencies, a_list_larger_than_a_record) {
+  for (int i = 0; i < 700; ++i) {
+    const std::string id = "run-" + std::to_string(1000000000 + i);
+    expect_job(id);
+    service.site.jobs[id].team = "guest";
+    service.site.jobs[id].run_s = 1;
+    service.site.jobs[id].gpus = 0.03;
+    service.site.jobs[id].cpus = 0.05;
+    service.net.after(milliseconds(100) * i,
+                      [this, id] { service.site.submit(service.site.jobs.at(id)); });
+  }
+  service.net.run_for(seconds(72));
+  json list = json::array();
+  for (int i = 0; i < 700; ++i) list.push_back("run-" + std::to_string(1000000000 + i));
+  list.push_back("run-1");
+  expect_job("run-50");
+  int status = 0;
+  for (int tries = 0; tries < 20 && status != 201 && status != 200; ++tries)
+    status = submit("run-50", list);
+  EXPECT_TRUE(status == 201 || status == 200) << status;
+  EXPECT_LE(service.state.biggest_value(), 8U << 10);
+  service.crash_for(*service.leader(), seconds(2));
+  service.net.run_for(seconds(90));
+  EXPECT_EQ(state_of("run-50"), "pending") << "run-1 still runs";
+  ask("POST", "/work/run-1/withdraw", "");
+  service.net.run_for(seconds(3));
+  EXPECT_EQ(state_of("run-50"), "cancelled");
+  EXPECT_EQ(service.state.refused_for_size(), 0U);
+}
+
+}  // namespace gingerdrift::testing
--- a/tests/rule_checks_test.cpp
+++ b/tests/rule_checks_test.cpp
@@ -146,6 +146,62 @@
   EXPECT_TRUE(complains("start after its cancellation"));
 }
 
+TEST_F(broken_service, too_early) {
+  submit("run-1", 1);
+  sim_job next;
+  next.id = "run-2";
+  next.team = "red";
+  next.awaits = {"run-1"};
+  site.submit(next);
+  net.run_for(seconds(1));
+  run(0, "run-2/0");
+  EXPECT_TRUE(complains("too_early run-2"));
+}
+
+TEST_F(broken_service, orphaned_and_tasks_of_an_orphan) {
+  submit("run-1", 1);
+  for (const int number : {2, 3}) {
+    sim_job next;
+    next.id = "run-" + std::to_string(number);
+    next.team = "red";
+    next.run_s = 400;
+    next.awaits = {"run-" + std::to_string(number - 1)};
+    site.submit(next);
+    net.run_for(seconds(1));
+  }
+  run(0, "run-3/0");
+  answer = [](const net::request& asked, const net::reply_fn& reply) {
+    const bool root = asked.target.find("run-1") != std::string::npos;
+    reply({200, json({{"status", root ? "cancelled" : "pending"}}).dump(), std::nullopt, false});
+  };
+  site.withdraw("run-1");
+  net.run_for(seconds(13));
+  EXPECT_FALSE(complains("orphaned"));
+  EXPECT_FALSE(complains("ran_cancelled with another"));
+  net.run_for(seconds(4));
+  EXPECT_TRUE(complains("orphaned run-3"));
+  EXPECT_TRUE(complains("ran_cancelled with another run-3"));
+}
+
+TEST_F(broken_service, cancelled_with_a_job_that_was_done) {
+  submit("run-1", 1);
+  sim_job next;
+  next.id = "run-2";
+  next.team = "red";
+  next.awaits = {"run-1"};
+  site.submit(next);
+  net.run_for(seconds(1));
+  site.done["run-1"].insert(0);
+  answer = [](const net::request& asked, const net::reply_fn& reply) {
+    const bool root = asked.target.find("run-1") != std::string::npos;
+    reply({200, json({{"status", root ? "done" : "cancelled"}}).dump(), std::nullopt, false});
+  };
+  site.withdraw("run-1");
+  net.run_for(seconds(4));
+  site.check_served();
+  EXPECT_TRUE(complains("went_back run-2 cancelled with nobody"));
+}
+
 TEST_F(broken_service, forgotten) {
   submit("run-1");
   answer_with(404, "");
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -72,6 +72,29 @@
       << "below lease_s: cancellations are confirmed once the tasks are gone";
 }
 
+TEST(settings, announced_limits_of_the_state_service) {
+  const std::string next = std::string(good) + "[params.state]\nvalue_kb = 8.0\nrps = 90\n";
+  EXPECT_FALSE(daemon::read_platform_settings(file_with(next)).announced_state_limits.has_value());
+  const auto with = [&](const std::string& fields) {
+    return next + "[params.state.next]\n" + fields;
+  };
+  const auto read = daemon::read_platform_settings(file_with(with("value_kb = 2.0\n")));
+  ASSERT_TRUE(read.announced_state_limits.has_value());
+  EXPECT_EQ(read.announced_state_limits->value_kb, 2.0);
+  EXPECT_EQ(read.announced_state_limits->requests_per_s, 90) << "what is not named stays";
+  EXPECT_EQ(store::writable_sizes(read.state_limits, read.announced_state_limits).value_kb, 2.0);
+  for (const auto* wrong : {"value_kb = 0.0\n", "value_kb = -2\n", "value_kb = \"small\"\n"})
+    EXPECT_NE(complaint_about_platform(with(wrong)).find("params.state.next.value_kb"),
+              std::string::npos)
+        << wrong;
+  EXPECT_NE(complaint_about_platform(with("txn_ops = 0\n")).find("params.state.next.txn_ops"),
+            std::string::npos);
+  EXPECT_NE(complaint_about_platform(with("write_rps = []\n")).find("params.state.next.write_rps"),
+            std::string::npos);
+  EXPECT_NE(complaint_about_platform(next + "next = 3\n").find("params.state.next"),
+            std::string::npos);
+}
+
 TEST(settings, the_commented_sample_holds_the_defaults) {
   const auto sample = daemon::read_operator_settings(std::string(GINGERDRIFT_SOURCE_DIR) +
                                                      "/config/gingerdrift.xml");
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -44,4 +44,117 @@
   EXPECT_GT(stored, 100U) << "the book goes on";
 }
 
+TEST(store, urgent_changes_come_before_progress_and_take_it_along) {
+  store::change_queue changes;
+  const time_point start{seconds(100)};
+  changes.add_progress({"run-1", 0}, start);
+  changes.add_progress({"run-2", 0}, start);
+  EXPECT_FALSE(changes.due(start + milliseconds(300)));
+  EXPECT_FALSE(changes.next_progress(start + milliseconds(300)).has_value()) << "it waits for more";
+  changes.add_urgent({"run-2", 0});
+  EXPECT_EQ(changes.next_urgent()->job, "run-2");
+  EXPECT_EQ(changes.next_progress(start + seconds(1))->job, "run-1");
+  EXPECT_FALSE(changes.next_progress(start + seconds(1)).has_value())
+      << "run-2 went with its status";
+  EXPECT_TRUE(changes.empty());
+}
+
+namespace {
+
+/// A leader's book against a store whose limits may fall.
+class falling_limits : public ::testing::Test {
+ protected:
+  falling_limits() { state.limit(wide); }
+  void make_book(const store::service_limits& sizes) {
+    book = std::make_unique<store::job_book>(
+        runtime, client, store::condition{"gd/leader", 0}, sizes,
+        store::job_book::hooks{
+            [](const std::string&) {},
+            [this](const std::string& id, const store::final_state&) { gone.push_back(id); }, [] {},
+            [] { return true; }});
+  }
+  /// As an earlier version may have written it: more attempts than a small value holds.
+  store::job& large_record(const std::string& id) {
+    store::job one;
+    one.spec.id = id;
+    one.spec.tasks = 120;
+    one.unit_tasks = 150;
+    one.units.resize(1);
+    for (std::uint32_t task = 0; task < one.spec.tasks; ++task)
+      one.attempts[task] = {1, "n-" + std::to_string(100000 + task), 1};
+    return book->insert(one);
+  }
+
+  const store::service_limits wide{100, 50, 8, 24};
+  const store::service_limits narrow{100, 50, 2, 8};
+  sim_net net{1};
+  state_service state{net, "state:1"};
+  sim_runtime runtime{net, "node-0"};
+  store::client client{runtime, "state:1", wide, narrow, {1, 1, 0.5}};
+  std::unique_ptr<store::job_book> book;
+  std::vector<std::string> gone;
+};
+
+}  // namespace
+
+TEST_F(falling_limits, a_record_that_is_too_large_waits_and_its_job_ends_all_the_same) {
+  state.limit(narrow);
+  make_book(narrow);
+  store::job& one = large_record("run-1");
+  one.status = store::job_status::cancelled;
+  book->mark_head(one);
+  std::optional<bool> told;
+  book->when_head_stored(one, [&](bool stored) { told = stored; });
+  net.run_for(seconds(1));
+  EXPECT_EQ(told, std::optional(false)) << "who waits for it hears so at once";
+  EXPECT_EQ(state.refused_for_size(), 0U) << "it is not even tried";
+  EXPECT_EQ(state.peek("gd/job/run-1"), nullptr);
+  while (one.attempts.size() > 10) {
+    one.attempts.erase(one.attempts.begin());
+    book->mark(one, 0, false);
+  }
+  net.run_for(seconds(2));
+  EXPECT_NE(state.peek("gd/job/run-1"), nullptr) << "small enough by now";
+  EXPECT_TRUE(one.status_stored);
+  one.attempts.clear();
+  book->retire(one);
+  net.run_for(seconds(1));
+  EXPECT_EQ(gone, std::vector<std::string>{"run-1"});
+  EXPECT_NE(state.peek("gd/final/run-1"), nullptr);
+}
+
+TEST_F(falling_limits, without_notice_nothing_is_refused_for_ever_in_the_same_form) {
+  make_book(wide);
+  for (int i = 0; i < 20; ++i) {
+    store::job small;
+    small.spec.id = "run-" + std::to_string(100 + i);
+    small.spec.tasks = 1;
+    small.units.resize(1);
+    book->mark_head(book->insert(small));
+  }
+  book->mark_head(large_record("run-1"));
+  state.limit(narrow);
+  net.run_for(seconds(20));
+  EXPECT_GT(state.refused_for_size(), 0U);
+  EXPECT_LT(state.refused_for_size(), 20U);
+  for (int i = 0; i < 20; ++i)
+    EXPECT_NE(state.peek("gd/job/run-" + std::to_string(100 + i)), nullptr) << i;
+}
+
+TEST_F(falling_limits, rates_fall_to_the_announced_ones_after_a_refusal) {
+  store::client busy(runtime, "state:1", {100, 50, 8, 24}, store::service_limits{100, 10, 2, 8},
+                     {1, 1, 0.5});
+  state.limit({100, 10, 2, 8});
+  std::size_t stored = 0;
+  for (int i = 0; i < 3000; ++i) {
+    net.after(milliseconds(10) * i, [&, i] {
+      busy.txn({}, {{"x/" + std::to_string(i), {{"x", 1}}, 0, false}},
+               [&](const store::result& answer) { stored += answer.ok(); });
+    });
+  }
+  net.run_for(seconds(31));
+  EXPECT_LT(state.refused_for_rate(), 10U) << "no storm of refusals";
+  EXPECT_GT(stored, 250U);
+}
+
 }  // namespace gingerdrift::testing
--- /dev/null
+++ b/tests/upgrade_formats_test.cpp
@@ -0,0 +1,171 @@
+// Each version reads what the other writes. The version in production is run, not imitated: its
+// sources come from the repository's history (tests/production).
+#include <gtest/gtest.h>
+
+#include "front/wire.hpp"
+#include "mesh/codec.hpp"
+#include "production_version.hpp"
+#include "store/job.hpp"
+#include "store/start_log.hpp"
+#include "support/sim_site.hpp"
+
+namespace gingerdrift::testing {
+
+namespace {
+
+constexpr std::size_t value_bytes = 7000;
+
+sim_job described(std::uint32_t tasks, bool gang) {
+  sim_job one;
+  one.id = "run-000412";
+  one.team = "red";
+  one.tasks = tasks;
+  one.gang = gang;
+  one.one_zone = gang;
+  one.spot = !gang;
+  one.zone = gang ? "b" : "";
+  one.urgency = "high";
+  return one;
+}
+
+store::job accepted(std::uint32_t tasks, bool gang = false) {
+  return store::new_job(front::read_job(described(tasks, gang).body()).spec, 1234567, value_bytes);
+}
+
+void add_attempts(store::job& one) {
+  const auto parts = one.large() ? (one.spec.tasks + one.unit_tasks - 1) / one.unit_tasks : 0;
+  one.units.resize(1 + parts);
+  for (std::uint32_t task = 0; task < one.spec.tasks; ++task) {
+    if (task % 3 == 0) {
+      one.done.insert(task);
+    } else {
+      one.attempts[task] = {task + 1, "n-" + std::to_string(100000 + task), 7};
+    }
+  }
+  for (auto& unit : one.units) unit.next_try = one.spec.tasks + 1;
+}
+
+std::vector<std::string> parts_of(const store::job& one) {
+  std::vector<std::string> out;
+  for (std::size_t unit = 1; unit < one.units.size(); ++unit)
+    out.push_back(store::write_part(one, unit).dump());
+  return out;
+}
+
+}  // namespace
+
+TEST(upgrade_formats, production_reads_every_record_without_dependencies_unchanged) {
+  for (const std::uint32_t tasks : {1U, 16U, 17U, 60U, 170U, 500U, 5000U}) {
+    for (const auto status :
+         {store::job_status::active, store::job_status::done, store::job_status::cancelled}) {
+      store::job one = accepted(tasks, tasks == 16);
+      add_attempts(one);
+      one.status = status;
+      const json head = store::write_head(one);
+      const auto parts = parts_of(one);
+      std::vector<std::string> rewritten_parts;
+      const auto rewritten = production_version::rewrite_head(head.dump(), parts, rewritten_parts);
+      ASSERT_TRUE(rewritten.has_value()) << head;
+      EXPECT_EQ(json::parse(*rewritten), head);
+      EXPECT_EQ(rewritten_parts, parts);
+    }
+  }
+}
+
+TEST(upgrade_formats, records_that_production_accepts_or_rewrites_are_read_field_by_field) {
+  for (const double value_kb : {2.0, 8.0, 32.0}) {
+    for (const std::uint32_t tasks : {1U, 40U, 100U, 300U}) {
+      const auto text =
+          production_version::accept(described(tasks, false).body(), 987654, value_kb);
+      store::job one = store::read_head(json::parse(text), 5);
+      EXPECT_EQ(one.created_ms, 987654);
+      EXPECT_FALSE(one.waiting);
+      EXPECT_EQ(one.queued_ms(), one.created_ms);
+      EXPECT_EQ(one.spec.tasks, tasks);
+      EXPECT_EQ(store::write_head(one), json::parse(text)) << "and written again as it was";
+    }
+  }
+}
+
+// After its dependencies are done a job's record is an ordinary one, with one field more that
+// production may drop.
+TEST(upgrade_formats, a_job_that_became_ready_is_an_ordinary_one) {
+  store::job one = accepted(20);
+  one.ready_ms = 7777777;
+  std::vector<std::string> none;
+  const auto rewritten = production_version::rewrite_head(store::write_head(one).dump(), {}, none);
+  ASSERT_TRUE(rewritten.has_value());
+  json expected = store::write_head(one);
+  expected.erase("ready");
+  EXPECT_EQ(json::parse(*rewritten), expected);
+  EXPECT_EQ(store::read_head(store::write_head(one), 1).queued_ms(), 7777777);
+  EXPECT_EQ(store::read_head(json::parse(*rewritten), 1).queued_ms(), one.created_ms);
+}
+
+// An old leader that read it would start it at once, and drop what it waits for on rewriting.
+TEST(upgrade_formats, production_passes_over_a_job_that_waits) {
+  store::job one = accepted(20);
+  one.waiting = true;
+  one.dependencies = {"run-1", "run-2"};
+  const json head = store::write_head(one);
+  std::vector<std::string> none;
+  EXPECT_FALSE(production_version::rewrite_head(head.dump(), {}, none).has_value());
+  const store::job read = store::read_head(head, 3);
+  EXPECT_TRUE(read.waiting);
+  EXPECT_EQ(read.dependencies, one.dependencies);
+  EXPECT_EQ(store::write_head(read), head);
+}
+
+TEST(upgrade_formats, final_records_are_the_same) {
+  for (const auto status : {store::job_status::done, store::job_status::cancelled}) {
+    store::job one = accepted(20);
+    one.status = status;
+    one.done.insert(0);
+    const json record = store::write_final(one);
+    const auto rewritten = production_version::rewrite_final(record.dump());
+    ASSERT_TRUE(rewritten.has_value());
+    EXPECT_EQ(json::parse(*rewritten), record);
+  }
+}
+
+TEST(upgrade_formats, the_start_log_is_the_same) {
+  store::start_log log(value_bytes);
+  log.add({"run-7", 3, 9, "n-000231", 2, 0, 11});
+  std::vector<store::condition> conditions;
+  std::vector<store::operation> operations;
+  log.prepare([](const store::start_entry&) { return false; }, conditions, operations);
+  ASSERT_EQ(operations.size(), 1U);
+  EXPECT_EQ(production_version::read_log_jobs(operations[0].key, operations[0].value.dump()),
+            std::vector<std::string>{"run-7"});
+}
+
+TEST(upgrade_formats, messages_between_controllers_are_the_same_bytes) {
+  mesh::message beat;
+  beat.node = "node-1";
+  EXPECT_EQ(mesh::encode(beat), production_version::encode_beat("node-1"));
+  mesh::message hint;
+  hint.kind = mesh::kind::new_job;
+  hint.node = "node-1";
+  hint.job = "run-7";
+  EXPECT_EQ(mesh::encode(hint), production_version::encode_new_job("node-1", "run-7"));
+  mesh::message asked;
+  asked.kind = mesh::kind::user;
+  asked.node = "node-1";
+  asked.method = "POST";
+  asked.target = "/work";
+  asked.body = "{}";
+  EXPECT_EQ(mesh::encode(asked),
+            production_version::encode_user_request("node-1", {"POST", "/work", "{}"}));
+  for (const auto& one : {beat, hint, asked})
+    EXPECT_EQ(production_version::recode_message(mesh::encode(one)), mesh::encode(one));
+  const auto answer = production_version::encode_answer({503, "later", seconds(1), true}, "n", 41);
+  const auto read = mesh::decode_answer(answer);
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(read->status, 503);
+  EXPECT_EQ(read->retry_after, 1);
+  EXPECT_EQ(read->token, 41U);
+  EXPECT_EQ(mesh::encode(*read), answer);
+  EXPECT_EQ(production_version::recode_answer(mesh::encode(*read)), answer);
+}
+
+}  // namespace gingerdrift::testing
