--- a/src/store/job_book.cpp
+++ b/src/store/job_book.cpp
@@ -33,7 +33,7 @@
                   [this](const std::string& key, std::uint64_t version) { learn(key, version); },
                   [this](const std::string& id, const stored_end& end) { learn_end(id, end); },
                   [this](const std::string& id) {
-                    give_up_waiters(id);
+                    waiters_.answer(id, std::nullopt);
                     jobs_.erase(id);
                   },
                   [this] {
@@ -44,9 +44,6 @@
 job_book::~job_book() {
   *alive_ = false;
   runtime_.cancel(timer_);
-  for (auto& [id, list] : waiters_) {
-    for (auto& done : list) done(std::nullopt);
-  }
 }
 
 job* job_book::find(const std::string& id) {
@@ -151,7 +148,7 @@
 
 void job_book::when_ended(const job& one, end_fn done) {
   if (one.end) return done(one.end);
-  waiters_[one.spec.id].push_back(std::move(done));
+  waiters_.add(one.spec.id, std::move(done));
 }
 
 void job_book::schedule(duration delay) {
@@ -331,7 +328,7 @@
                   bytes);
     changes_.add_progress(unit, runtime_.now());
     // Who waits for it hears so at once, and asks again.
-    if (unit.unit == 0) give_up_waiters(unit.job);
+    if (unit.unit == 0) waiters_.answer(unit.job, std::nullopt);
     return outcome::too_large;
   }
   if (batch.bytes > 0 && batch.bytes + bytes > txn_bytes) return outcome::no_room;
@@ -462,20 +459,10 @@
 void job_book::tell_waiters(const std::set<std::string>& touched) {
   for (const auto& id : touched) {
     const job* known = find(id);
-    if (known != nullptr && known->end) answer_waiters(id, known->end);
+    if (known != nullptr && known->end) waiters_.answer(id, known->end);
   }
 }
 
-void job_book::give_up_waiters(const std::string& id) { answer_waiters(id, std::nullopt); }
-
-void job_book::answer_waiters(const std::string& id, const std::optional<stored_end>& end) {
-  const auto found = waiters_.find(id);
-  if (found == waiters_.end()) return;
-  const auto waiting = std::move(found->second);
-  waiters_.erase(found);
-  for (const auto& done : waiting) done(end);
-}
-
 void job_book::read_conflicts(std::vector<std::string> keys) {
   if (keys.empty()) {
     schedule(retry_delay);
@@ -507,7 +494,7 @@
 /// A final record says that the job is over, whoever wrote it and whatever is known here.
 void job_book::learn_end(const std::string& id, const stored_end& end) {
   if (find(id) == nullptr) return;
-  answer_waiters(id, end);
+  waiters_.answer(id, end);
   remove(id, end);
 }
 
--- a/src/store/job_book.hpp
+++ b/src/store/job_book.hpp
@@ -8,6 +8,7 @@
 #include "store/change_queue.hpp"
 #include "store/client.hpp"
 #include "store/conflict_reader.hpp"
+#include "store/end_waiters.hpp"
 #include "store/ended_jobs.hpp"
 #include "store/job.hpp"
 #include "store/start_log.hpp"
@@ -53,7 +54,7 @@
   void read_log(const std::vector<entry>& found);
   /// A finished job without attempts moves to its final key and leaves the book.
   void retire(job& one);
-  using end_fn = std::function<void(std::optional<stored_end>)>;
+  using end_fn = end_waiters::end_fn;
   /// Calls back with how the job ended once that is stored, or with nothing when it can't be said.
   void when_ended(const job& one, end_fn done);
   /// Whether a head record, asked for at that time, may be older than the end of its job.
@@ -102,8 +103,6 @@
   void take_back(const std::vector<piece>& pieces);
   void applied(const std::vector<piece>& pieces, std::uint64_t revision);
   void tell_waiters(const std::set<std::string>& touched);
-  void give_up_waiters(const std::string& id);
-  void answer_waiters(const std::string& id, const std::optional<stored_end>& end);
   void note_end_writes(const std::vector<piece>& pieces);
   void remove(const std::string& id, const stored_end& end);
   void read_conflicts(std::vector<std::string> keys);
@@ -119,7 +118,7 @@
   std::unordered_map<std::string, job> jobs_;
   start_log log_;
   change_queue changes_;
-  std::unordered_map<std::string, std::vector<end_fn>> waiters_;  // for a job's end
+  end_waiters waiters_;
   ended_jobs ended_;
   conflict_reader conflicts_;
   bool busy_ = false;
