--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -75,11 +75,13 @@
 TEST_F(leaders_term, takes_no_head_that_names_another_job) {
   accept("run-1");
   store::json head = *state.peek("gd/job/run-1");
+  head["spec"]["id"] = "run-8";  // which nobody submitted
   client.txn({}, {{"gd/job/run-7", head, 0, false}}, [](const store::result&) {});
   net.run_for(milliseconds(50));
   term->look_up("run-7");
   net.run_for(seconds(2));
   EXPECT_FALSE(term->state_of("run-7").has_value());
+  EXPECT_FALSE(term->state_of("run-8").has_value());
   EXPECT_TRUE(term->state_of("run-1").has_value()) << "the watch finds it";
 }
 
