--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -36,7 +36,8 @@
   return "in progress";
 }
 
-/// A follower whose leader answers as each test wants, with a store of its own.
+/// A follower whose leader answers as each test wants, with a store of its own; with a memory, it
+/// leads itself.
 class follower : public ::testing::Test, private front::node_services {
  protected:
   follower() {
@@ -67,8 +68,8 @@
     return told;
   }
 
-  bool leads() const override { return false; }
-  std::optional<store::job_state> state_of(const std::string&) override { return std::nullopt; }
+  bool leads() const override { return memory.has_value(); }
+  std::optional<store::job_state> state_of(const std::string&) override { return memory; }
   void cancel(const std::string&, cancelled_fn done) override { done(std::nullopt); }
   void job_submitted(const std::string&) override {}
   void forward_to_leader(const net::request& message, net::reply_fn done) override {
@@ -86,6 +87,7 @@
   store::client client{runtime, "state:1", wide, std::nullopt, {1, 1, 1}};
   std::vector<admission::machine_type> types;
   std::unique_ptr<front::user_interface> users;
+  std::optional<store::job_state> memory;
   std::string told;
 };
 
@@ -202,6 +204,18 @@
   EXPECT_EQ(told, "200 done");
 }
 
+TEST_F(follower, that_leads_asks_the_store_while_its_memory_is_unsettled) {
+  put("gd/final/run-1", {{"status", "done"}, {"done", 2U}});
+  put("gd/job/run-2", store::write_head(job_named("run-2")));
+  memory = store::unsettled{};
+  EXPECT_EQ(answer_about("run-1"), "200 done");
+  EXPECT_EQ(answer_about("run-2"), "200 pending");
+  state.outage(seconds(60));
+  EXPECT_EQ(answer_about("run-2"), "503");
+  memory = store::in_progress{1, 1};
+  EXPECT_EQ(answer_about("run-2"), "200 running") << "a valid lease is enough";
+}
+
 namespace {
 
 /// A leader's book, and somebody else who changes its records.
--- a/tests/support/meeting.cpp
+++ b/tests/support/meeting.cpp
@@ -95,6 +95,7 @@
       out.gang_wait_s = line.number("gang_wait", out.gang_wait_s);
       out.teams = line.number("teams", out.teams);
       out.capacity = static_cast<std::size_t>(line.number("capacity", 6));
+      out.final_cache = static_cast<std::uint32_t>(line.number("final_cache", out.final_cache));
     }
     return out;
   }
--- a/tests/support/random_day.cpp
+++ b/tests/support/random_day.cpp
@@ -44,7 +44,8 @@
     const int lease = whole(5, 14);
     const int cancel = chance(0.3) ? whole(5, lease + 2) : lease + whole(4, 20);
     out_ << "site lease=" << lease << " cancel=" << cancel << " capacity=" << whole(4, 10)
-         << " teams=" << whole(1, 2) << "\n";
+         << " teams=" << whole(1, 2) << " final_cache=" << (chance(0.5) ? whole(1, 4) : 4096)
+         << "\n";
   }
 
   void write_jobs() {
@@ -55,7 +56,7 @@
 
   void write_trouble() {
     out_ << "at " << real(troubles_from_s, troubles_until_s) << " ";
-    switch (whole(0, 13)) {
+    switch (whole(0, 14)) {
       case 0:
         out_ << "crash " << controller() << " for=" << (chance(0.5) ? real(0.05, 1) : real(1, 9));
         break;
@@ -67,7 +68,7 @@
       case 4:
         out_ << "cut " << controller() << " from="
              << one_of(std::array{"state", "peers", "state,peers", "workers", "state,workers",
-                                  "state,peers,cloud,workers"})
+                                  "users", "state,peers,cloud,workers"})
              << " for=" << real(0.5, 15)
              << " mode=" << one_of(std::array{"drop", "hold", "refuse", "answers"});
         break;
@@ -95,6 +96,10 @@
              << " for=" << real(2, 20);
         break;
       case 12:
+        out_ << "limits value_kb=" << whole(2, 8) << " txn_ops=" << whole(6, 24)
+             << " write_rps=" << whole(15, 60) << " rps=" << whole(90, 150);
+        break;
+      case 13:
         out_ << "cancel jobs=" << whole(1, 6);
         break;
       default:
--- a/tests/support/sim_service.cpp
+++ b/tests/support/sim_service.cpp
@@ -151,6 +151,7 @@
   auto& mine = processes_[node];
   daemon::operator_settings rules;
   rules.pass_interval = from_seconds(shape.pass_s);
+  rules.final_cache = shape.final_cache;
   mine.plans = std::make_unique<inline_planner>(*mine.runtime, admission::policy{});
   mine.controller =
       std::make_unique<daemon::controller>(*mine.runtime, *mine.plans, own, rules, net.random());
--- a/tests/support/sim_site.hpp
+++ b/tests/support/sim_site.hpp
@@ -48,6 +48,7 @@
   double pass_s = 0.1;       // between scheduling passes
   double teams = 1;          // how many times the usual guarantees and limits
   std::size_t capacity = 6;  // machines of each zone and kind
+  std::uint32_t final_cache = 4096;
   /// What the settings announce as the state service's limits to come.
   std::optional<store::service_limits> announced;
 };
