A job before it may be cancelled and told so, unacknowledged here: what waits is not certain then

A job is certain only while no ancestor's cancellation is under way; until then the store is read, which says 503 for what waits.

--- a/src/dependencies/graph.cpp
+++ b/src/dependencies/graph.cpp
@@ -164,19 +164,25 @@
   return found == nodes_.end() ? admission::priority::low : found->second.inherited;
 }
 
-bool graph::ancestors_known(const std::string& job) const {
+std::set<std::string> graph::ancestors(const std::string& job) const {
   std::deque<std::string> next{job};
-  std::set<std::string> seen{job};
+  std::set<std::string> found;
   while (!next.empty()) {
-    const auto found = nodes_.find(next.front());
+    const auto current = nodes_.find(next.front());
     next.pop_front();
-    if (found == nodes_.end()) continue;
-    for (const auto& name : found->second.dependencies) {
-      if (nodes_.at(name).progress != job_progress::unfinished) return false;
-      if (seen.insert(name).second) next.push_back(name);
+    if (current == nodes_.end()) continue;
+    for (const auto& name : current->second.dependencies) {
+      if (found.insert(name).second) next.push_back(name);
     }
   }
-  return true;
+  return found;
+}
+
+bool graph::ancestors_known(const std::string& job) const {
+  const auto names = ancestors(job);
+  return std::all_of(names.begin(), names.end(), [this](const std::string& name) {
+    return nodes_.at(name).progress == job_progress::unfinished;
+  });
 }
 
 std::vector<std::string> graph::unknown() const { return {unknown_.begin(), unknown_.end()}; }
--- a/src/dependencies/graph.hpp
+++ b/src/dependencies/graph.hpp
@@ -39,7 +39,9 @@
   bool has_dependents(const std::string& job) const;
   /// The highest priority among its dependents, direct or not; `low` if it has none.
   admission::priority inherited_priority(const std::string& job) const;
-  /// Whether every job that it needs, directly or through others, is known not to be cancelled.
+  /// Every job that it needs, directly or through others, and that isn't known to be done.
+  std::set<std::string> ancestors(const std::string& job) const;
+  /// Whether each of these is known not to be cancelled.
   bool ancestors_known(const std::string& job) const;
   /// Jobs that others wait for and of which nothing is known.
   std::vector<std::string> unknown() const;
--- a/src/dependencies/tracker.cpp
+++ b/src/dependencies/tracker.cpp
@@ -213,7 +213,18 @@
 
 bool tracker::certain(const job& one) const {
   if (!one.waiting) return true;
-  return started_ && lists_.count(one.spec.id) == 0 && graph_.ancestors_known(one.spec.id);
+  if (!started_ || lists_.count(one.spec.id) != 0) return false;
+  if (!graph_.ancestors_known(one.spec.id)) return false;
+  const auto ancestors = graph_.ancestors(one.spec.id);
+  return std::none_of(ancestors.begin(), ancestors.end(),
+                      [this](const std::string& name) { return cancellation_under_way(name); });
+}
+
+/// A cancellation may be stored, and told by whoever read it, long before that is acknowledged
+/// here.
+bool tracker::cancellation_under_way(const std::string& id) const {
+  const job* one = book_.find(id);
+  return one != nullptr && one->status == job_status::cancelled;
 }
 
 admission::priority tracker::effective_priority(const job& one) const {
--- a/src/dependencies/tracker.hpp
+++ b/src/dependencies/tracker.hpp
@@ -52,6 +52,7 @@
   std::size_t waiting_jobs() const { return graph_.waiting_jobs(); }
 
  private:
+  bool cancellation_under_way(const std::string& id) const;
   void add_to_graph(store::job& one);
   void read_list(const std::string& job, const store::dependency_parts& parts, std::size_t index);
   void list_read(const std::string& job);
--- a/tests/dependency_tracker_test.cpp
+++ b/tests/dependency_tracker_test.cpp
@@ -93,6 +93,25 @@
   EXPECT_TRUE(over("run-4"));
 }
 
+// Others may have read the cancellation, and told it, while its acknowledgement is lost.
+TEST_F(waiting_jobs, are_not_certain_while_a_cancellation_before_them_is_unanswered) {
+  store::job& first = add("run-1");
+  add("run-2", {"run-1"});
+  const store::job& last = add("run-3", {"run-2"});
+  const store::job& other = add("run-4", {"run-5"});
+  add("run-5");
+  EXPECT_TRUE(tracker.certain(last));
+  state.lose_answers(1, seconds(5));
+  end(first, store::job_status::cancelled);
+  net.run_for(seconds(1));
+  EXPECT_NE(state.peek("gd/final/run-1"), nullptr);
+  EXPECT_EQ(last.status, store::job_status::active);
+  EXPECT_FALSE(tracker.certain(last));
+  EXPECT_TRUE(tracker.certain(other));
+  net.run_for(seconds(10));
+  EXPECT_TRUE(over("run-3"));
+}
+
 TEST_F(waiting_jobs, that_ended_long_ago_are_read_from_their_final_records) {
   for (const auto* status : {"done", "cancelled"}) {
     client.txn({},
