--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -43,7 +43,7 @@
       std::make_unique<front::user_interface>(runtime_, store_,
                                               front::options{{rules_.waiting_submissions, sizes},
                                                              rules_.final_cache,
-                                                             confirms_when_gone(platform_),
+                                                             when_cancellations_are_told(platform_),
                                                              platform_.node},
                                               platform_.teams, services);
   make_mesh();
@@ -92,7 +92,7 @@
   term::hooks events;
   events.deposed = [this] { elector_->found_deposed(); };
   events.valid = [this] { return elector_->valid(); };
-  events.finished = [this](const std::string& id, const store::final_state& end) {
+  events.finished = [this](const std::string& id, const store::stored_end& end) {
     front_->remember(id, end);
   };
   events.remembered = [this](const std::string& id) { return front_->remembered(id); };
@@ -126,8 +126,8 @@
                                                           std::move(nodes));
 }
 
-std::optional<front::job_progress> controller::progress_of(const std::string& job) {
-  return term_ ? term_->known(job) : std::nullopt;
+std::optional<store::job_state> controller::state_of(const std::string& job) {
+  return term_ ? term_->state_of(job) : std::nullopt;
 }
 
 void controller::cancel(const std::string& job, cancelled_fn done) {
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -29,7 +29,7 @@
 
  private:
   // What the users' interface needs.
-  std::optional<front::job_progress> progress_of(const std::string& job) override;
+  std::optional<store::job_state> state_of(const std::string& job) override;
   void cancel(const std::string& job, cancelled_fn done) override;
   void job_submitted(const std::string& job) override;
   void forward_to_leader(const net::request& message, net::reply_fn done) override;
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -47,9 +47,10 @@
   return std::max<duration>(duration::zero(), platform.cancel - lease - cancel_margin);
 }
 
-bool confirms_when_gone(const platform_settings& platform) {
-  return platform.cancel <
-         from_seconds(to_seconds(platform.worker_lease) * (1 + drift)) + cancel_margin;
+store::cancellation_told when_cancellations_are_told(const platform_settings& platform) {
+  const duration lease = from_seconds(to_seconds(platform.worker_lease) * (1 + drift));
+  return platform.cancel < lease + cancel_margin ? store::cancellation_told::when_tasks_are_gone
+                                                 : store::cancellation_told::when_stored;
 }
 
 term::term(net::runtime& runtime, store::client& store, const platform_settings& platform,
@@ -71,9 +72,9 @@
                answer_kept();
                changed();
              },
-             [this](const std::string& id, const store::final_state& end) {
-               spdlog::info("finished job={} state={} term={}", id, store::status_name(end.status),
-                            token_);
+             [this](const std::string& id, const store::stored_end& end) {
+               spdlog::info("finished job={} state={} term={}", id,
+                            store::status_name(end.status()), token_);
                events_.finished(id, end);
                dependencies_.job_gone(id, end);
                changed();
@@ -128,7 +129,7 @@
     }
     // What is stored after the first page was read shows in the watch.
     if (watch_from_ == 0) watch_from_ = page.revision;
-    for (const auto& entry : page.entries) take_in(entry);
+    for (const auto& entry : page.entries) take_in(entry, page.sent);
     if (page.more && !page.entries.empty()) {
       load(prefix, page.entries.back().key);
     } else if (!loading_) {
@@ -148,7 +149,7 @@
   });
 }
 
-void term::take_in(const store::entry& found) {
+void term::take_in(const store::entry& found, time_point asked) {
   if (found.key.rfind(store::log_prefix, 0) == 0) {
     log_entries_.push_back(found);
     return;
@@ -156,15 +157,7 @@
   try {
     const std::string prefix = store::head_prefix;
     if (found.key.rfind(prefix, 0) == 0) {
-      const std::string id = found.key.substr(prefix.size());
-      if (book_.find(id) != nullptr || events_.remembered(id)) return;
-      job fresh = store::read_head(found.value, found.version);
-      const auto team = team_index_.find(fresh.spec.team);
-      if (team == team_index_.end()) {
-        spdlog::error("job of an unknown team job={} team={}", id, fresh.spec.team);
-        return;
-      }
-      dependencies_.job_added(book_.insert(std::move(fresh)));
+      take_in_head(found.key.substr(prefix.size()), found, asked);
       return;
     }
     const std::string rest = found.key.substr(std::string(store::part_prefix).size());
@@ -176,6 +169,25 @@
   }
 }
 
+void term::take_in_head(const std::string& id, const store::entry& found, time_point asked) {
+  if (book_.find(id) != nullptr || events_.remembered(id)) return;
+  // What was read before the job ended shows it as it was; a cache that forgets is no guard.
+  if (book_.may_have_ended_since(id, asked)) {
+    runtime_.after(reload_delay, [this, id, alive = alive_] {
+      if (*alive) look_up(id);
+    });
+    return;
+  }
+  job fresh = store::read_head(found.value, found.version);
+  if (fresh.spec.id != id) throw std::invalid_argument("it names another job");
+  const auto team = team_index_.find(fresh.spec.team);
+  if (team == team_index_.end()) {
+    spdlog::error("job of an unknown team job={} team={}", id, fresh.spec.team);
+    return;
+  }
+  dependencies_.job_added(book_.insert(std::move(fresh)));
+}
+
 void term::loaded() {
   loading_ = false;
   ready_ = true;
@@ -228,7 +240,7 @@
     if (!*alive) return;
     looking_.erase(id);
     if (found.ok() && !found.entries.empty()) {
-      take_in(found.entries.front());
+      take_in(found.entries.front(), found.sent);
       changed();
     } else if (found.status != 404) {
       runtime_.after(reload_delay, [this, id, alive] {
@@ -312,31 +324,17 @@
 
 std::size_t term::machines() const { return ready_ ? fleet_.all().size() : 0; }
 
-std::optional<front::job_progress> term::known(const std::string& id) {
+std::optional<store::job_state> term::state_of(const std::string& id) {
   const job* one = book_.find(id);
   if (one == nullptr) return std::nullopt;
-  front::job_progress at;
-  // Final states are told once they are stored, never before.
-  at.status = one->status_stored ? one->status : job_status::active;
-  if (at.status == job_status::cancelled && confirms_when_gone(platform_))
-    at.status = job_status::active;
-  // A cancellation on its way to the store is neither told nor denied; nor is a job called pending
-  // while something that it needs may be cancelled.
-  at.undecided =
-      (one->status == job_status::cancelled && !one->status_stored) || !dependencies_.certain(*one);
-  at.done = one->done.count();
-  for (const auto& [task, entry] : one->attempts) {
-    if (entry.phase == attempt_phase::running) ++at.running;
-  }
-  return at;
+  // Nor is a job called pending while something that it needs may be cancelled.
+  if (!dependencies_.certain(*one)) return store::unsettled{};
+  return store::state_in_memory(*one, when_cancellations_are_told(platform_));
 }
 
-void term::cancel(const std::string& id, std::function<void(std::optional<job_status>)> done) {
+void term::cancel(const std::string& id, store::job_book::end_fn done) {
   job* one = book_.find(id);
-  if (one == nullptr || !events_.valid()) {
-    done(std::nullopt);
-    return;
-  }
+  if (one == nullptr || !events_.valid()) return done(std::nullopt);
   if (one->status == job_status::active) {
     spdlog::info("cancelled job={} term={}", id, token_);
     one->status = job_status::cancelled;
@@ -348,18 +346,10 @@
   }
   // Where a lease outlasts the time a cancellation has, its user is told once the tasks are gone,
   // and asks again until then.
-  if (one->status == job_status::cancelled && confirms_when_gone(platform_)) {
-    done(std::nullopt);
-    return;
-  }
-  if (one->status_stored) {
-    done(one->status);
-    return;
-  }
-  const job_status status = one->status;
-  book_.when_head_stored(*one, [done = std::move(done), status](bool stored) {
-    done(stored ? std::optional(status) : std::nullopt);
-  });
+  const bool hidden =
+      when_cancellations_are_told(platform_) == store::cancellation_told::when_tasks_are_gone;
+  if (one->status == job_status::cancelled && hidden) return done(std::nullopt);
+  book_.when_ended(*one, std::move(done));
 }
 
 void term::changed() {
--- a/src/daemon/term.hpp
+++ b/src/daemon/term.hpp
@@ -16,8 +16,8 @@
 /// How old what a controller knows of cancellations may be while it still renews workers' leases:
 /// a leader that lost the store counts it from the end of its own lease, a deputy from its reading.
 duration keeper_grace(const platform_settings& platform);
-/// A worker's lease outlasts the time a cancellation has: users are told once the tasks are gone.
-bool confirms_when_gone(const platform_settings& platform);
+/// Where a worker's lease outlasts the time a cancellation has, once the tasks are gone.
+store::cancellation_told when_cancellations_are_told(const platform_settings& platform);
 
 /// One term of leadership: everything the leader knows, rebuilt from the store, and the loop that
 /// turns it into decisions. Gone when the term ends.
@@ -26,9 +26,9 @@
   struct hooks {
     std::function<void()> deposed;
     std::function<bool()> valid;
-    std::function<void(const std::string&, const store::final_state&)> finished;
+    std::function<void(const std::string&, const store::stored_end&)> finished;
     /// A final state that this process has seen in the store.
-    std::function<std::optional<store::final_state>(const std::string&)> remembered;
+    std::function<std::optional<store::stored_end>(const std::string&)> remembered;
   };
   term(net::runtime& runtime, store::client& store, const platform_settings& platform,
        const operator_settings& rules, std::uint64_t token, const store::condition& leader,
@@ -41,8 +41,9 @@
   bool ready() const { return ready_; }
   /// Answers a worker; with an empty text when the term has ended.
   void report(workers::report said, std::function<void(std::string)> answer);
-  std::optional<front::job_progress> known(const std::string& id);
-  void cancel(const std::string& id, std::function<void(std::optional<store::job_status>)> done);
+  /// What users may be told of a job in the book; only while the leader's lease is valid.
+  std::optional<store::job_state> state_of(const std::string& id);
+  void cancel(const std::string& id, store::job_book::end_fn done);
   /// A job may be new in the store: read it.
   void look_up(const std::string& id);
   nlohmann::json status() const;
@@ -56,8 +57,8 @@
   static constexpr auto tick_period = seconds(1);
 
   // What the dependency tracker asks.
-  void take_job(const store::entry& head) override { take_in(head); }
-  std::optional<store::final_state> remembered_end(const std::string& job) override {
+  void take_job(const store::entry& head, time_point asked) override { take_in(head, asked); }
+  std::optional<store::stored_end> remembered_end(const std::string& job) override {
     return events_.remembered(job);
   }
   void dependencies_changed() override { changed(); }
@@ -65,7 +66,9 @@
   void load(const std::string& prefix, const std::string& after);
   void loaded();
   void follow();
-  void take_in(const store::entry& found);
+  /// `asked`: when the store was asked for it.
+  void take_in(const store::entry& found, time_point asked);
+  void take_in_head(const std::string& id, const store::entry& found, time_point asked);
   void changed();
   void pass();
   admission::snapshot timed_picture();
--- a/src/dependencies/tracker.cpp
+++ b/src/dependencies/tracker.cpp
@@ -13,6 +13,10 @@
 /// Elections, renewals and users' reads go first: no more reads than this at a time.
 constexpr std::size_t most_reads = 8;
 constexpr auto retry_delay = milliseconds(300);
+
+job_progress progress_of(const store::stored_end& end) {
+  return end.status() == job_status::done ? job_progress::done : job_progress::cancelled;
+}
 }  // namespace
 
 tracker::tracker(net::runtime& runtime, store::client& store, store::job_book& book,
@@ -89,9 +93,7 @@
 bool tracker::known_here(const std::string& id) {
   if (const job* one = book_.find(id); one != nullptr) {
     job_progress progress = job_progress::unfinished;
-    if (one->status_stored && one->status == job_status::done) progress = job_progress::done;
-    if (one->status_stored && one->status == job_status::cancelled)
-      progress = job_progress::cancelled;
+    if (one->end) progress = progress_of(*one->end);
     apply(graph_.set_progress(id, progress));
     return true;
   }
@@ -135,7 +137,7 @@
                            [this, id, alive = alive_](const store::result& found) {
                              if (!*alive) return;
                              if (!found.ok() || found.entries.empty()) return read_again(id);
-                             owner_.take_job(found.entries.front());
+                             owner_.take_job(found.entries.front(), found.sent);
                              if (book_.find(id) == nullptr) return read_again(id);
                              read_done(id);
                            });
@@ -159,12 +161,11 @@
 
 void tracker::job_stored(const std::string& id) {
   const job* one = book_.find(id);
-  if (one != nullptr && one->status_stored) known_here(id);
+  if (one != nullptr && one->end) known_here(id);
 }
 
-void tracker::job_gone(const std::string& id, const store::final_state& end) {
-  apply(graph_.set_progress(
-      id, end.status == job_status::done ? job_progress::done : job_progress::cancelled));
+void tracker::job_gone(const std::string& id, const store::stored_end& end) {
+  apply(graph_.set_progress(id, progress_of(end)));
 }
 
 void tracker::job_cancelled(const std::string& id) {
--- a/src/dependencies/tracker.hpp
+++ b/src/dependencies/tracker.hpp
@@ -14,10 +14,11 @@
 class tracker_owner {
  public:
   virtual ~tracker_owner() = default;
-  /// Takes the head record of a job into the book, if it is not there yet.
-  virtual void take_job(const store::entry& head) = 0;
+  /// Takes the head record of a job into the book, if it is not there yet and was asked for late
+  /// enough.
+  virtual void take_job(const store::entry& head, time_point asked) = 0;
   /// A final state that this process has seen in the store.
-  virtual std::optional<store::final_state> remembered_end(const std::string& job) = 0;
+  virtual std::optional<store::stored_end> remembered_end(const std::string& job) = 0;
   /// Jobs became ready, or their priorities changed.
   virtual void dependencies_changed() = 0;
 };
@@ -40,7 +41,7 @@
   void start();
   /// Some of a job's changes are stored.
   void job_stored(const std::string& job);
-  void job_gone(const std::string& job, const store::final_state& end);
+  void job_gone(const std::string& job, const store::stored_end& end);
   /// A user called a job off that still waits.
   void job_cancelled(const std::string& job);
 
--- a/src/front/answers.hpp
+++ b/src/front/answers.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <string>
+
 #include "net/transport.hpp"
+#include "store/job_state.hpp"
 
 namespace gingerdrift::front {
 
@@ -8,4 +11,10 @@
 /// controller.
 void reply_later(const net::reply_fn& reply, const char* why);
 
+/// Answers a question about a job; 503 while its state is unsettled.
+void reply_state(const std::string& job, const store::job_state& state, const net::reply_fn& reply);
+
+/// The name of a state as users see it; of an unsettled one, nothing.
+const char* state_name(const store::job_state& state);
+
 }  // namespace gingerdrift::front
--- a/src/front/final_cache.hpp
+++ b/src/front/final_cache.hpp
@@ -14,12 +14,12 @@
  public:
   explicit final_cache(std::size_t most) : most_(most) {}
 
-  std::optional<store::final_state> find(const std::string& id) const {
+  std::optional<store::stored_end> find(const std::string& id) const {
     const auto found = states_.find(id);
     if (found == states_.end()) return std::nullopt;
     return found->second;
   }
-  void insert(const std::string& id, const store::final_state& end) {
+  void insert(const std::string& id, const store::stored_end& end) {
     if (!states_.emplace(id, end).second) return;
     order_.push_back(id);
     if (order_.size() <= most_) return;
@@ -30,7 +30,7 @@
  private:
   std::size_t most_;
   std::list<std::string> order_;
-  std::unordered_map<std::string, store::final_state> states_;
+  std::unordered_map<std::string, store::stored_end> states_;
 };
 
 }  // namespace gingerdrift::front
--- a/src/front/node_services.hpp
+++ b/src/front/node_services.hpp
@@ -7,29 +7,21 @@
 
 #include "admission/types.hpp"
 #include "net/transport.hpp"
-#include "store/job.hpp"
+#include "store/job_state.hpp"
 
 namespace gingerdrift::front {
 
-/// What the leader knows of a job.
-struct job_progress {
-  store::job_status status = store::job_status::active;
-  /// Whether it is over may not be said yet: users are told to ask again.
-  bool undecided = false;
-  std::uint32_t done = 0;
-  std::uint32_t running = 0;
-};
-
 /// What the users' interface needs of the controller it runs on.
 class node_services {
  public:
-  using cancelled_fn = std::function<void(std::optional<store::job_status>)>;
+  using cancelled_fn = std::function<void(std::optional<store::stored_end>)>;
 
   virtual ~node_services() = default;
   /// Holds the leader's lease and has read everything.
   virtual bool leads() const = 0;
-  virtual std::optional<job_progress> progress_of(const std::string& job) = 0;
-  /// Leader only. Calls back with nothing when it could not be stored.
+  /// From the leader's memory; nothing if the job isn't there.
+  virtual std::optional<store::job_state> state_of(const std::string& job) = 0;
+  /// Leader only. Calls back with how the job ended, or with nothing when that could not be stored.
   virtual void cancel(const std::string& job, cancelled_fn done) = 0;
   /// A job was stored, here or lately: the leader should read it.
   virtual void job_submitted(const std::string& job) = 0;
--- a/src/front/state_reader.cpp
+++ b/src/front/state_reader.cpp
@@ -7,68 +7,83 @@
 
 namespace gingerdrift::front {
 
-using store::job_status;
+state_reader::state_reader(store::client& store, final_cache& finals, store::cancellation_told told)
+    : store_(store), finals_(finals), told_(told) {}
 
-const char* state_name(const job_progress& at) {
-  if (at.status != job_status::active) return store::status_name(at.status);
-  return at.running > 0 ? "running" : "pending";
+state_reader::~state_reader() { *alive_ = false; }
+
+void state_reader::read_key(const std::string& key, const net::reply_fn& reply, found_fn found,
+                            std::function<void()> absent) {
+  store_.get_for_user(key, [reply, found = std::move(found), absent = std::move(absent),
+                            alive = alive_](const store::result& answer) {
+    if (!*alive) return;
+    if (answer.status == 404) return absent();
+    if (!answer.ok() || answer.entries.empty())
+      return reply_later(reply, "the state service does not answer");
+    found(answer.entries.front());
+  });
 }
 
-state_reader::state_reader(store::client& store, final_cache& finals, bool confirms_when_gone)
-    : store_(store), finals_(finals), confirms_when_gone_(confirms_when_gone) {}
+/// The final record first: it never changes, whatever else there is. Where there is none, the head;
+/// and where that is missing too, the job has moved between the two readings or was never accepted.
+void state_reader::read(const std::string& id, const net::reply_fn& reply) {
+  read_key(
+      store::final_key(id), reply,
+      [this, id, reply](const store::entry& record) { reply_from_final(id, record, reply); },
+      [this, id, reply] { read_head(id, reply); });
+}
 
-state_reader::~state_reader() { *alive_ = false; }
+void state_reader::read_head(const std::string& id, const net::reply_fn& reply) {
+  read_key(
+      store::head_key(id), reply,
+      [this, id, reply](const store::entry& head) { reply_from_head(id, head, reply); },
+      [this, id, reply] { read_final_again(id, reply); });
+}
 
-/// The head first, then the final record. Records move only that way, so that a job can't be missed
-/// between the two.
-void state_reader::read(const std::string& id, const net::reply_fn& reply) {
-  store_.get_for_user(store::head_key(id),
-                      [this, id, reply, alive = alive_](const store::result& head) {
-                        if (!*alive) return;
-                        if (head.status == 404) return read_final(id, reply);
-                        if (!head.ok() || head.entries.empty())
-                          return reply_later(reply, "the state service does not answer");
-                        reply_from_head(id, head.entries.front(), reply);
-                      });
+void state_reader::read_final_again(const std::string& id, const net::reply_fn& reply) {
+  read_key(
+      store::final_key(id), reply,
+      [this, id, reply](const store::entry& record) { reply_from_final(id, record, reply); },
+      [reply] {
+        reply({404, write_error("no such job"), std::nullopt, false});
+      });
 }
 
 void state_reader::reply_from_head(const std::string& id, const store::entry& head,
                                    const net::reply_fn& reply) const {
   try {
-    const auto one = store::read_head(head.value, head.version);
-    // Something that it needs may be cancelled, and it with that, though its own record doesn't say
-    // so yet: only the leader knows all that it depends on.
-    if (one.waiting && one.status == job_status::active)
-      return reply_later(reply, "it waits for other jobs, and no leader answers");
-    job_progress at;
-    at.status = one.status;
-    at.done = one.status == job_status::done ? one.spec.tasks : one.done.count();
-    at.running = static_cast<std::uint32_t>(one.attempts.size());
-    // Its user is told once its tasks are gone, which the final record says.
-    if (confirms_when_gone_ && at.status == job_status::cancelled) at.status = job_status::active;
-    if (at.status != job_status::active) at.running = 0;
-    reply({200, write_progress(id, state_name(at), at.done, at.running), std::nullopt, false});
+    const auto record = store::read_head(head.value, head.version);
+    if (record.spec.id != id) throw std::invalid_argument("it names another job");
+    reply_state(id, store::state_in_record(record, told_), reply);
   } catch (const std::exception& error) {
-    spdlog::error("job record is malformed job={}: {}", id, error.what());
+    spdlog::error("head record is malformed key={}: {}", head.key, error.what());
     reply_later(reply, "the record can't be read");
   }
 }
 
-void state_reader::read_final(const std::string& id, const net::reply_fn& reply) {
-  store_.get_for_user(
-      store::final_key(id), [this, id, reply, alive = alive_](const store::result& last) {
-        if (!*alive) return;
-        if (last.status == 404) {
-          reply({404, write_error("no such job"), std::nullopt, false});
-          return;
-        }
-        if (!last.ok() || last.entries.empty())
-          return reply_later(reply, "the state service does not answer");
-        const auto end = store::read_final(last.entries.front().value);
-        if (!end) return reply_later(reply, "the record can't be read");
-        finals_.insert(id, *end);
-        reply({200, write_progress(id, store::status_name(end->status), end->done, 0), std::nullopt,
-               false});
+void state_reader::reply_from_final(const std::string& id, const store::entry& record,
+                                    const net::reply_fn& reply) {
+  const auto end = store::read_final(record.value);
+  if (!end) {
+    spdlog::error("final record is malformed key={}", record.key);
+    return reply_later(reply, "the record can't be read");
+  }
+  check_no_head(id, *end, reply);
+}
+
+/// The write that brings a final record takes the head away. Both at once is nothing that this
+/// service writes, and neither is trusted then.
+void state_reader::check_no_head(const std::string& id, const store::stored_end& end,
+                                 const net::reply_fn& reply) {
+  read_key(
+      store::head_key(id), reply,
+      [reply](const store::entry& head) {
+        spdlog::error("head beside a final record key={}", head.key);
+        reply_later(reply, "its records contradict each other");
+      },
+      [this, id, end, reply] {
+        finals_.insert(id, end);
+        reply_state(id, end, reply);
       });
 }
 
--- a/src/front/submissions.cpp
+++ b/src/front/submissions.cpp
@@ -8,8 +8,6 @@
 
 namespace gingerdrift::front {
 
-using store::job_status;
-
 namespace {
 const char* const store_silent = "the state service does not answer";
 /// Of the 64 KiB of a transaction, what a list of dependencies takes.
@@ -50,7 +48,7 @@
   }
   const std::string id = parsed.spec.id;
   if (const auto end = finals_.find(id)) {
-    reply({200, write_state(id, store::status_name(end->status)), std::nullopt, false});
+    reply({200, write_state(id, state_name(*end)), std::nullopt, false});
     return;
   }
   const auto& types = services_.machine_types();
@@ -182,31 +180,32 @@
 /// A job that was accepted once is never refused, even if types or limits have changed since.
 void submissions::refuse_unless_known(const submission_ptr& asked, const std::string& why) {
   const std::string id = asked->job.spec.id;
-  store_.get(store::head_key(id), [this, id, why, asked,
-                                   alive = alive_](const store::result& head) {
-    if (!*alive) return;
-    if (head.status != 404 && !head.ok()) return reply_later(asked->reply, store_silent);
-    if (head.ok()) return known_already(asked);
-    store_.get(store::final_key(id), [id, why, asked](const store::result& last) {
-      if (last.ok() && !last.entries.empty()) {
-        const auto end = store::read_final(last.entries.front().value);
-        if (!end) return reply_later(asked->reply, "the record can't be read");
-        asked->reply({200, write_state(id, store::status_name(end->status)), std::nullopt, false});
-      } else if (last.status == 404) {
-        asked->reply({422, write_error(why), std::nullopt, false});
-      } else {
-        reply_later(asked->reply, store_silent);
-      }
-    });
-  });
+  store_.get(store::head_key(id),
+             [this, id, why, asked, alive = alive_](const store::result& head) {
+               if (!*alive) return;
+               if (head.status != 404 && !head.ok()) return reply_later(asked->reply, store_silent);
+               if (head.ok()) return known_already(asked);
+               store_.get(store::final_key(id), [id, why, asked](const store::result& last) {
+                 if (last.ok() && !last.entries.empty()) {
+                   const auto end = store::read_final(last.entries.front().value);
+                   if (!end) return reply_later(asked->reply, "the record can't be read");
+                   asked->reply({200, write_state(id, state_name(*end)), std::nullopt, false});
+                 } else if (last.status == 404) {
+                   asked->reply({422, write_error(why), std::nullopt, false});
+                 } else {
+                   reply_later(asked->reply, store_silent);
+                 }
+               });
+             });
 }
 
 void submissions::known_already(const submission_ptr& asked) {
   const std::string id = asked->job.spec.id;
   accepted_.remember(id);
   if (services_.leads()) {
-    if (const auto at = services_.progress_of(id); at && !at->undecided) {
-      asked->reply({200, write_state(id, state_name(*at)), std::nullopt, false});
+    const auto state = services_.state_of(id);
+    if (state && !std::holds_alternative<store::unsettled>(*state)) {
+      asked->reply({200, write_state(id, state_name(*state)), std::nullopt, false});
       return;
     }
   }
--- a/src/front/user_interface.cpp
+++ b/src/front/user_interface.cpp
@@ -6,8 +6,6 @@
 
 namespace gingerdrift::front {
 
-using store::job_status;
-
 namespace {
 const std::string jobs_path = "/work";
 const std::string withdraw_ending = "/withdraw";
@@ -19,13 +17,18 @@
 void reply_not_found(const net::reply_fn& reply) {
   reply({404, write_error("no such thing"), std::nullopt, false});
 }
+
+/// The answer to a cancellation.
+void reply_end(const std::string& id, const store::stored_end& end, const net::reply_fn& reply) {
+  reply({200, write_state(id, state_name(end)), std::nullopt, false});
+}
 }  // namespace
 
 user_interface::user_interface(net::runtime& runtime, store::client& store, const options& how,
                                std::vector<daemon::team> teams, node_services& services)
     : services_(services),
       finals_(how.final_cache),
-      states_(store, finals_, how.confirms_when_gone),
+      states_(store, finals_, how.cancellation),
       submissions_(runtime, store, how.submissions, std::move(teams), how.node, services, finals_,
                    states_) {}
 
@@ -67,17 +70,12 @@
 
 void user_interface::poll(const std::string& id, const net::request& message, bool forwarded,
                           const net::reply_fn& reply) {
-  if (const auto end = finals_.find(id)) {
-    reply({200, write_progress(id, store::status_name(end->status), end->done, 0), std::nullopt,
-           false});
-    return;
-  }
+  if (const auto end = finals_.find(id)) return reply_state(id, *end, reply);
   if (services_.leads()) {
-    const auto at = services_.progress_of(id);
-    if (!at) return states_.read(id, reply);
-    if (at->undecided) return reply_later(reply, "its state is not settled");
-    reply({200, write_progress(id, state_name(*at), at->done, at->running), std::nullopt, false});
-    return;
+    const auto state = services_.state_of(id);
+    // What the memory can't settle, the state service can.
+    if (!state || std::holds_alternative<store::unsettled>(*state)) return states_.read(id, reply);
+    return reply_state(id, *state, reply);
   }
   if (forwarded) return reply_later(reply, "not the leader");
   services_.forward_to_leader(message,
@@ -91,15 +89,12 @@
 
 void user_interface::withdraw(const std::string& id, const net::request& message, bool forwarded,
                               const net::reply_fn& reply) {
-  if (const auto end = finals_.find(id)) {
-    reply({200, write_state(id, store::status_name(end->status)), std::nullopt, false});
-    return;
-  }
+  if (const auto end = finals_.find(id)) return reply_end(id, *end, reply);
   if (services_.leads()) {
-    if (!services_.progress_of(id)) return withdraw_unknown(id, reply);
-    services_.cancel(id, [id, reply](std::optional<job_status> status) {
-      if (!status) return reply_later(reply, "not confirmed yet");
-      reply({200, write_state(id, store::status_name(*status)), std::nullopt, false});
+    if (!services_.state_of(id)) return withdraw_unknown(id, reply);
+    services_.cancel(id, [id, reply](std::optional<store::stored_end> end) {
+      if (!end) return reply_later(reply, "not confirmed yet");
+      reply_end(id, *end, reply);
     });
     return;
   }
@@ -115,10 +110,7 @@
   states_.read(id, [this, id, reply, alive = alive_](const net::response& found) {
     if (!*alive) return;
     if (found.status == 404) return reply(found);
-    if (const auto end = finals_.find(id)) {
-      reply({200, write_state(id, store::status_name(end->status)), std::nullopt, false});
-      return;
-    }
+    if (const auto end = finals_.find(id)) return reply_end(id, *end, reply);
     services_.job_submitted(id);
     reply_later(reply, "just submitted");
   });
--- a/src/front/user_interface.hpp
+++ b/src/front/user_interface.hpp
@@ -14,8 +14,7 @@
 struct options {
   submission_options submissions;
   std::uint32_t final_cache = 4096;
-  /// A job is called cancelled only once its tasks are proven gone.
-  bool confirms_when_gone = false;
+  store::cancellation_told cancellation = store::cancellation_told::when_stored;
   std::string node;
 };
 
@@ -30,8 +29,8 @@
 
   /// `forwarded`: it comes from a peer and is not passed on again.
   void handle(const net::request& message, bool forwarded, const net::reply_fn& reply);
-  void remember(const std::string& id, const store::final_state& end) { finals_.insert(id, end); }
-  std::optional<store::final_state> remembered(const std::string& id) const {
+  void remember(const std::string& id, const store::stored_end& end) { finals_.insert(id, end); }
+  std::optional<store::stored_end> remembered(const std::string& id) const {
     return finals_.find(id);
   }
 
--- a/src/store/job.cpp
+++ b/src/store/job.cpp
@@ -11,9 +11,10 @@
 
 const char* const head_prefix = "gd/job/";
 const char* const part_prefix = "gd/part/";
+const char* const final_prefix = "gd/final/";
 
 std::string head_key(const std::string& id) { return head_prefix + id; }
-std::string final_key(const std::string& id) { return "gd/final/" + id; }
+std::string final_key(const std::string& id) { return final_prefix + id; }
 std::string part_key(const std::string& id, std::size_t part) {
   return part_prefix + id + "/" + std::to_string(part);
 }
@@ -30,16 +31,28 @@
   return "active";
 }
 
+namespace {
+constexpr std::uint32_t most_tasks = 100000;
+
+std::optional<job_status> read_status(const std::string& name) {
+  for (const auto status : {job_status::active, job_status::done, job_status::cancelled}) {
+    if (name == status_name(status)) return status;
+  }
+  return std::nullopt;
+}
+}  // namespace
+
 json write_final(const job& one) {
   return {{"status", status_name(one.status)}, {"done", one.done.count()}};
 }
 
-std::optional<final_state> read_final(const json& record) {
-  const std::string text = text_field(record, "status");
-  const auto done = static_cast<std::uint32_t>(number_field(record, "done"));
-  if (text == "done") return final_state{job_status::done, done};
-  if (text == "cancelled") return final_state{job_status::cancelled, done};
-  return std::nullopt;
+std::optional<stored_end> read_final(const json& record) {
+  if (!record.is_object() || !record.contains("done")) return std::nullopt;
+  const json& done = record["done"];
+  if (!done.is_number_unsigned() || done.get<std::uint64_t>() > most_tasks) return std::nullopt;
+  const auto status = read_status(text_field(record, "status"));
+  if (!status || *status == job_status::active) return std::nullopt;
+  return stored_end(*status, done.get<std::uint32_t>());
 }
 
 namespace {
@@ -127,12 +140,14 @@
   }
   if (in.contains("attempts")) {
     for (const auto& item : in["attempts"]) {
+      const auto task = item.at(0).get<std::uint32_t>();
+      if (task >= one.spec.tasks) throw std::invalid_argument("attempt of a task it has not");
       attempt entry;
       entry.number = item.at(1).get<std::uint64_t>();
       entry.machine = item.at(2).get<std::string>();
       entry.session = item.at(3).get<std::uint64_t>();
       entry.phase = attempt_phase::sent;  // an earlier leader may have sent it
-      one.attempts[item.at(0).get<std::uint32_t>()] = entry;
+      one.attempts[task] = entry;
       one.gang_try = std::max(one.gang_try, entry.number);
     }
   }
@@ -237,7 +252,7 @@
   }
   if (record.contains("ready")) out.ready_ms = record["ready"].get<std::int64_t>();
   out.created_ms = record.at("created").get<std::int64_t>();
-  if (out.spec.tasks == 0 || out.spec.tasks > 100000) throw std::invalid_argument("tasks");
+  if (out.spec.tasks == 0 || out.spec.tasks > most_tasks) throw std::invalid_argument("tasks");
   out.unit_tasks = record.at("unit").get<std::uint32_t>();
   if (out.unit_tasks < job::least_unit) throw std::invalid_argument("unit");
   const auto parts =
@@ -251,10 +266,11 @@
   } else {
     read_tasks(out, 0, record);
   }
-  const std::string status = record.at("status").get<std::string>();
-  if (status == "done") out.status = job_status::done;
-  if (status == "cancelled") out.status = job_status::cancelled;
-  out.status_stored = out.status != job_status::active;
+  const auto status = read_status(record.at("status").get<std::string>());
+  if (!status) throw std::invalid_argument("status");
+  out.status = *status;
+  if (out.status == job_status::done) out.end = stored_end(out.status, out.spec.tasks);
+  if (out.status == job_status::cancelled) out.end = stored_end(out.status, out.done.count());
   return out;
 }
 
--- a/src/store/job.hpp
+++ b/src/store/job.hpp
@@ -10,11 +10,10 @@
 #include "admission/types.hpp"
 #include "base/range_set.hpp"
 #include "base/time.hpp"
+#include "store/stored_end.hpp"
 
 namespace gingerdrift::store {
 
-enum class job_status : std::uint8_t { active, done, cancelled };
-
 /// What the owner asked for. Amounts are per task.
 struct job_spec {
   std::string id;
@@ -81,6 +80,14 @@
   std::size_t count = 0;
 };
 
+/// How far the writes that end a job have been sent. One that was sent may be carried out at any
+/// moment, whether it is answered or not; so this never goes back.
+enum class end_write : std::uint8_t {
+  none,
+  status_sent,        // a head with the final status
+  final_record_sent,  // the final record
+};
+
 /// A job as the leader holds it. Jobs of up to `unit_tasks` tasks are one key; larger ones spill
 /// their attempts and finished ranges into part keys, which keeps every value small.
 struct job {
@@ -97,10 +104,10 @@
   job_status status = job_status::active;
   std::map<std::uint32_t, attempt> attempts;
   range_set done;
-  std::vector<record_unit> units;   // [0] the head; parts follow for large jobs
-  std::uint64_t status_change = 0;  // the head's change that carries the final status
-  bool status_stored = false;       // the store knows it
-  bool leaving = false;             // only its final record remains to be written
+  std::vector<record_unit> units;  // [0] the head; parts follow for large jobs
+  std::optional<stored_end> end;   // how it ended, once that is stored
+  end_write end_write_sent = end_write::none;
+  bool leaving = false;  // only its final record remains to be written
   // Failures of its tasks:
   std::map<std::string, std::uint32_t> errors;  // machine -> count
   time_point last_error{};
@@ -127,6 +134,7 @@
 std::string final_key(const std::string& id);
 extern const char* const head_prefix;
 extern const char* const part_prefix;
+extern const char* const final_prefix;
 
 nlohmann::json write_head(const job& one);
 nlohmann::json write_part(const job& one, std::size_t unit);
@@ -146,12 +154,8 @@
 void read_part(job& one, std::size_t unit, const nlohmann::json& record, std::uint64_t version);
 
 const char* status_name(job_status status);
-/// How a job ended, and how many of its tasks were done by then.
-struct final_state {
-  job_status status = job_status::done;
-  std::uint32_t done = 0;
-};
 nlohmann::json write_final(const job& one);
-std::optional<final_state> read_final(const nlohmann::json& record);
+/// Nothing if it is malformed.
+std::optional<stored_end> read_final(const nlohmann::json& record);
 
 }  // namespace gingerdrift::store
--- a/src/store/job_book.cpp
+++ b/src/store/job_book.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t least_value_bytes = 512;
 /// Of the 64 KiB of a transaction, what records take; a value of the start log comes on top.
 constexpr std::size_t txn_bytes = std::size_t{28} << 10;
+/// More than can end while a reading of the store is under way.
+constexpr std::size_t most_ended = 8192;
 }  // namespace
 
 job_book::job_book(net::runtime& runtime, client& store, condition leader,
@@ -24,13 +26,26 @@
       txn_operations_(sizes.txn_operations),
       value_bytes_(planned_value_bytes(sizes)),
       events_(std::move(events)),
-      log_(value_bytes_) {}
+      log_(value_bytes_),
+      ended_(most_ended),
+      conflicts_(runtime, store,
+                 {[this] { return events_.may_write(); },
+                  [this](const std::string& key, std::uint64_t version) { learn(key, version); },
+                  [this](const std::string& id, const stored_end& end) { learn_end(id, end); },
+                  [this](const std::string& id) {
+                    give_up_waiters(id);
+                    jobs_.erase(id);
+                  },
+                  [this] {
+                    busy_ = false;
+                    schedule(group_delay);
+                  }}) {}
 
 job_book::~job_book() {
   *alive_ = false;
   runtime_.cancel(timer_);
   for (auto& [id, list] : waiters_) {
-    for (auto& one : list) one.done(false);
+    for (auto& done : list) done(std::nullopt);
   }
 }
 
@@ -113,8 +128,6 @@
 void job_book::mark_head(job& one) {
   one.view.reset();
   ++one.units[0].mutation;
-  if (one.status != job_status::active && one.status_change == 0)
-    one.status_change = one.units[0].mutation;
   queue({one.spec.id, 0}, true);
 }
 
@@ -136,12 +149,9 @@
   mark_head(one);
 }
 
-void job_book::when_head_stored(job& one, std::function<void(bool)> done) {
-  if (!one.units[0].dirty()) {
-    done(true);
-    return;
-  }
-  waiters_[one.spec.id].push_back({one.units[0].mutation, std::move(done)});
+void job_book::when_ended(const job& one, end_fn done) {
+  if (one.end) return done(one.end);
+  waiters_[one.spec.id].push_back(std::move(done));
 }
 
 void job_book::schedule(duration delay) {
@@ -253,14 +263,14 @@
   if (head && one->leaving && in_one_step) return add_final(batch, *one, urgent);
   // Of a very large job the parts go first, and only once the final status is stored: a successor
   // that finds the head without them must not take the tasks for unstarted.
-  if (head && one->leaving && one->status_stored) {
+  if (head && one->leaving && one->end) {
     for (std::size_t part = 1; part < one->units.size(); ++part) {
       if (one->units[part].version != 0) changes_.add_urgent({unit.job, part});
     }
     return outcome::not_yet;
   }
   const bool part_goes = !head && one->leaving;
-  if (part_goes && (in_one_step || !one->status_stored))
+  if (part_goes && (in_one_step || !one->end))
     return in_one_step ? outcome::nothing_to_write : outcome::not_yet;
   if (batch.budget < 1) return outcome::no_room;
   auto& state = one->units[unit.unit];
@@ -272,11 +282,20 @@
     if (result != outcome::added) return result;
   }
   batch.conditions.push_back({key, state.version});
+  // Only a submission makes a head. Were one written for a job that is over, it would be back.
+  if (head && state.version == 0) batch.conditions.push_back({final_key(unit.job), 0});
   batch.budget -= 1;
-  batch.pieces.push_back({unit, state.mutation, false, part_goes, urgent});
+  batch.pieces.push_back(
+      {unit, state.mutation, false, part_goes, urgent, head ? end_as_written(*one) : std::nullopt});
   return outcome::added;
 }
 
+/// What a head record or final record written now says of the job's end.
+std::optional<stored_end> job_book::end_as_written(const job& one) {
+  if (one.status == job_status::active) return std::nullopt;
+  return stored_end(one.status, one.done.count());
+}
+
 job_book::outcome job_book::add_final(commit& batch, job& one, bool urgent) {
   const std::string& id = one.spec.id;
   const auto cost = static_cast<double>(stored_parts(one) + 2);
@@ -287,7 +306,12 @@
     const std::string key = unit == 0 ? head_key(id) : part_key(id, unit);
     batch.conditions.push_back({key, state.version});
     batch.operations.push_back({key, {}, 0, true});
-    batch.pieces.push_back({{id, unit}, state.mutation, unit == 0, true, urgent});
+    batch.pieces.push_back({{id, unit},
+                            state.mutation,
+                            unit == 0,
+                            true,
+                            urgent,
+                            unit == 0 ? end_as_written(one) : std::nullopt});
   }
   batch.conditions.push_back({final_key(id), 0});
   batch.operations.push_back({final_key(id), write_final(one), 0, false});
@@ -320,6 +344,7 @@
 
 void job_book::send(commit batch) {
   busy_ = true;
+  note_end_writes(batch.pieces);
   const auto conditions = batch.conditions;
   const auto operations = batch.operations;
   store_.txn(conditions, operations,
@@ -332,6 +357,16 @@
              });
 }
 
+/// From here on the ends it carries may be read, and told, by others before they are acknowledged.
+void job_book::note_end_writes(const std::vector<piece>& pieces) {
+  for (const auto& one : pieces) {
+    job* known = find(one.unit.job);
+    if (known == nullptr || !one.end) continue;
+    const auto sent = one.final_record ? end_write::final_record_sent : end_write::status_sent;
+    known->end_write_sent = std::max(known->end_write_sent, sent);
+  }
+}
+
 void job_book::refused(const commit& batch, const result& answer) {
   take_back(batch.pieces);
   log_.failed();
@@ -341,7 +376,7 @@
       events_.deposed();
       return;
     }
-    repair(answer.failed);
+    read_conflicts(answer.failed);
     return;
   }
   if (answer.status == 400) refused_for_size(batch);
@@ -376,7 +411,7 @@
 
 void job_book::applied(const std::vector<piece>& pieces, std::uint64_t revision) {
   std::set<std::string> touched;
-  std::vector<std::pair<std::string, final_state>> finished;
+  std::vector<std::pair<std::string, stored_end>> finished;
   const auto alive = alive_;
   for (const auto& start : log_.written(revision)) {
     job* one = find(start.job);
@@ -393,17 +428,17 @@
     auto& unit = found->units[one.unit.unit];
     unit.version = one.erased ? 0 : revision;
     unit.stored = std::max(unit.stored, one.mutation);
-    // What was written may be older than the status: an earlier change of the head, under way when
-    // the job ended. A user was once told `done` by that, and `running` by a successor.
-    if (head && found->status_change != 0 && one.mutation >= found->status_change)
-      found->status_stored = true;
+    // What was written says it, not the status by now: an earlier change of the head may have been
+    // under way when the job ended. A user was once told `done` by that, and `running` by a
+    // successor.
+    if (one.end) found->end = one.end;
     // A large job's head was stored with the final status; its removal comes after its parts'.
     if (head && found->leaving && !one.final_record) {
       ++unit.mutation;
       queue(one.unit, true);
     }
     if (one.final_record) {
-      finished.emplace_back(one.unit.job, final_state{found->status, found->done.count()});
+      finished.emplace_back(one.unit.job, *one.end);
     }
     touched.insert(one.unit.job);
   }
@@ -414,71 +449,40 @@
   }
   for (const auto& [id, end] : finished) {
     if (!*alive) return;
-    jobs_.erase(id);
-    events_.gone(id, end);
+    remove(id, end);
   }
 }
 
+void job_book::remove(const std::string& id, const stored_end& end) {
+  jobs_.erase(id);
+  ended_.add(id, runtime_.now());
+  events_.gone(id, end);
+}
+
 void job_book::tell_waiters(const std::set<std::string>& touched) {
-  std::vector<std::function<void(bool)>> ready;
   for (const auto& id : touched) {
-    const auto found = waiters_.find(id);
     const job* known = find(id);
-    if (found == waiters_.end() || known == nullptr) continue;
-    const auto stored = known->units[0].stored;
-    auto& list = found->second;
-    for (auto it = list.begin(); it != list.end();) {
-      if (it->mutation > stored) {
-        ++it;
-        continue;
-      }
-      ready.push_back(std::move(it->done));
-      it = list.erase(it);
-    }
-    if (list.empty()) waiters_.erase(found);
+    if (known != nullptr && known->end) answer_waiters(id, known->end);
   }
-  for (auto& done : ready) done(true);
 }
 
-void job_book::give_up_waiters(const std::string& id) {
+void job_book::give_up_waiters(const std::string& id) { answer_waiters(id, std::nullopt); }
+
+void job_book::answer_waiters(const std::string& id, const std::optional<stored_end>& end) {
   const auto found = waiters_.find(id);
   if (found == waiters_.end()) return;
   const auto waiting = std::move(found->second);
   waiters_.erase(found);
-  for (const auto& one : waiting) one.done(false);
+  for (const auto& done : waiting) done(end);
 }
 
-/// Conditions failed on our own keys: a transaction that went unanswered was applied after all.
-/// Only the leader writes these keys, so their present versions are ours.
-void job_book::repair(std::vector<std::string> keys) {
+void job_book::read_conflicts(std::vector<std::string> keys) {
   if (keys.empty()) {
     schedule(retry_delay);
     return;
   }
   busy_ = true;
-  const std::string key = keys.back();
-  store_.get(
-      key, [this, key, keys = std::move(keys), alive = alive_](const result& answer) mutable {
-        if (!*alive) return;
-        busy_ = false;
-        if (answer.ok() && !answer.entries.empty()) {
-          learn(key, answer.entries.front().version);
-          keys.pop_back();
-        } else if (answer.status == 404) {
-          learn(key, 0);
-          keys.pop_back();
-        }
-        if (keys.empty()) {
-          schedule(group_delay);
-          return;
-        }
-        busy_ = true;
-        runtime_.after(milliseconds(20), [this, keys = std::move(keys), alive = alive_]() mutable {
-          if (!*alive) return;
-          busy_ = false;
-          repair(std::move(keys));
-        });
-      });
+  conflicts_.start(std::move(keys));
 }
 
 void job_book::learn(const std::string& key, std::uint64_t version) {
@@ -488,7 +492,7 @@
   }
   const auto strip = [&](const std::string& prefix) { return key.substr(prefix.size()); };
   if (key.rfind(head_prefix, 0) == 0) {
-    learn_head(strip(head_prefix), version);
+    if (job* one = find(strip(head_prefix)); one != nullptr) one->units[0].version = version;
     return;
   }
   if (key.rfind(part_prefix, 0) != 0) return;
@@ -500,20 +504,11 @@
   if (unit < one->units.size()) one->units[unit].version = version;
 }
 
-void job_book::learn_head(const std::string& id, std::uint64_t version) {
-  job* one = find(id);
-  if (one == nullptr) return;
-  if (version != 0 || !one->leaving) {
-    one->units[0].version = version;
-    return;
-  }
-  // The final record went in with the head's removal.
-  const final_state end{one->status, one->done.count()};
-  auto waiting = std::move(waiters_[id]);
-  waiters_.erase(id);
-  jobs_.erase(id);
-  for (auto& other : waiting) other.done(true);
-  events_.gone(id, end);
+/// A final record says that the job is over, whoever wrote it and whatever is known here.
+void job_book::learn_end(const std::string& id, const stored_end& end) {
+  if (find(id) == nullptr) return;
+  answer_waiters(id, end);
+  remove(id, end);
 }
 
 }  // namespace gingerdrift::store
--- a/src/store/job_book.hpp
+++ b/src/store/job_book.hpp
@@ -7,6 +7,8 @@
 
 #include "store/change_queue.hpp"
 #include "store/client.hpp"
+#include "store/conflict_reader.hpp"
+#include "store/ended_jobs.hpp"
 #include "store/job.hpp"
 #include "store/start_log.hpp"
 
@@ -22,7 +24,7 @@
  public:
   struct hooks {
     std::function<void(const std::string& id)> stored;  // some of this job's changes are stored
-    std::function<void(const std::string& id, const final_state& end)> gone;  // its final record is
+    std::function<void(const std::string& id, const stored_end& end)> gone;  // its final record is
     std::function<void()> deposed;    // the leader key is another's
     std::function<bool()> may_write;  // the leader's lease is valid
   };
@@ -51,9 +53,13 @@
   void read_log(const std::vector<entry>& found);
   /// A finished job without attempts moves to its final key and leaves the book.
   void retire(job& one);
-  /// Calls back once everything marked on the head so far is stored, or with false when it won't
-  /// be.
-  void when_head_stored(job& one, std::function<void(bool)> done);
+  using end_fn = std::function<void(std::optional<stored_end>)>;
+  /// Calls back with how the job ended once that is stored, or with nothing when it can't be said.
+  void when_ended(const job& one, end_fn done);
+  /// Whether a head record, asked for at that time, may be older than the end of its job.
+  bool may_have_ended_since(const std::string& id, time_point asked) const {
+    return ended_.may_have_ended_since(id, asked);
+  }
   std::size_t backlog() const { return changes_.size(); }
 
  private:
@@ -64,6 +70,7 @@
     bool final_record;
     bool erased;
     bool urgent;
+    std::optional<stored_end> end;  // what it says of the job's end, once it is acknowledged
   };
   /// A transaction being put together.
   struct commit {
@@ -85,6 +92,7 @@
   outcome add_unit(commit& batch, const unit_name& unit, bool urgent);
   outcome add_value(commit& batch, const unit_name& unit, job& one);
   static std::size_t stored_parts(const job& one);
+  static std::optional<stored_end> end_as_written(const job& one);
   bool ends_in_one_step(const job& one) const;
   /// Head and parts go, and the final record comes, all in one transaction.
   outcome add_final(commit& batch, job& one, bool urgent);
@@ -95,15 +103,12 @@
   void applied(const std::vector<piece>& pieces, std::uint64_t revision);
   void tell_waiters(const std::set<std::string>& touched);
   void give_up_waiters(const std::string& id);
-  void repair(std::vector<std::string> keys);
+  void answer_waiters(const std::string& id, const std::optional<stored_end>& end);
+  void note_end_writes(const std::vector<piece>& pieces);
+  void remove(const std::string& id, const stored_end& end);
+  void read_conflicts(std::vector<std::string> keys);
   void learn(const std::string& key, std::uint64_t version);
-  void learn_head(const std::string& id, std::uint64_t version);
-
-  /// Somebody who waits for a change of a job's head to be stored.
-  struct waiter {
-    std::uint64_t mutation;
-    std::function<void(bool)> done;
-  };
+  void learn_end(const std::string& id, const stored_end& end);
 
   net::runtime& runtime_;
   client& store_;
@@ -114,7 +119,9 @@
   std::unordered_map<std::string, job> jobs_;
   start_log log_;
   change_queue changes_;
-  std::unordered_map<std::string, std::vector<waiter>> waiters_;
+  std::unordered_map<std::string, std::vector<end_fn>> waiters_;  // for a job's end
+  ended_jobs ended_;
+  conflict_reader conflicts_;
   bool busy_ = false;
   time_point last_starts_{};  // when starts were last written
   net::timer_id timer_ = 0;
--- a/tests/support/meeting.cpp
+++ b/tests/support/meeting.cpp
@@ -61,6 +61,7 @@
     site.check_served();
     if (const json* office = service_->state.peek("gd/token"); office != nullptr)
       facts()["offices"] = office->at("token").get<std::size_t>();
+    facts()["lost_answers"] = service_->state.lost_answers();
     facts()["late_writes"] = service_->state.late_writes();
     facts()["late_writes_refused"] = service_->state.late_refused();
     facts()["arrived_late"] = net().arrived_late;
@@ -229,6 +230,7 @@
 
   void cut_nodes(const trace_line& line) {
     const std::string mode_name = line.text("mode", "drop");
+    const bool answers_only = mode_name == "answers";
     const auto mode = mode_name == "hold"     ? sim_net::cut_mode::hold
                       : mode_name == "refuse" ? sim_net::cut_mode::refuse
                                               : sim_net::cut_mode::drop;
@@ -236,6 +238,10 @@
     for (const auto index : nodes_of(line.words.at(3))) {
       const std::string node = "node-" + std::to_string(index);
       for (const auto& from : split(line.text("from"))) {
+        if (answers_only) {
+          net().cut_one_way(from, node, span);
+          continue;
+        }
         if (from == "state" || from == "cloud" || from == "users")
           net().cut(node, from, span, mode);
         if (from == "workers") {
@@ -297,6 +303,10 @@
       service_->state.outage(span);
     } else if (verb == "slow_store") {
       service_->state.slow(span_of(line, "by"), span);
+    } else if (verb == "lost_answers") {
+      service_->state.lose_answers(line.number("share", 0.3), span);
+    } else if (verb == "close_looks") {
+      site.close_looks(span);
     } else if (verb == "late_writes") {
       service_->state.write_late(line.number("share", 0.3), span);
     } else if (verb == "late_reports") {
--- /dev/null
+++ b/tests/support/random_day.cpp
@@ -0,0 +1,115 @@
+#include "support/random_day.hpp"
+
+#include <array>
+#include <random>
+#include <sstream>
+
+namespace gingerdrift::testing {
+
+namespace {
+
+constexpr double troubles_from_s = 6;
+constexpr double troubles_until_s = 95;
+
+class day_writer {
+ public:
+  explicit day_writer(std::uint64_t seed) : random_(seed) {}
+
+  std::string write() {
+    write_site();
+    write_jobs();
+    out_ << "at 1 close_looks for=400\n";
+    const int troubles = whole(4, 12);
+    for (int i = 0; i < troubles; ++i) write_trouble();
+    out_ << "calm 125\nover 420\n";
+    return out_.str();
+  }
+
+ private:
+  double real(double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(random_);
+  }
+  int whole(int low, int high) { return std::uniform_int_distribution<int>(low, high)(random_); }
+  bool chance(double share) { return real(0, 1) < share; }
+  template <std::size_t N>
+  std::string one_of(const std::array<const char*, N>& choices) {
+    return choices[static_cast<std::size_t>(whole(0, N - 1))];
+  }
+  std::string controller() {
+    return one_of(std::array{"leader", "leader", "leader", "follower", "node-0", "node-2", "all"});
+  }
+
+  /// A cancellation may have more time than a worker's lease, or less.
+  void write_site() {
+    const int lease = whole(5, 14);
+    const int cancel = chance(0.3) ? whole(5, lease + 2) : lease + whole(4, 20);
+    out_ << "site lease=" << lease << " cancel=" << cancel << " capacity=" << whole(4, 10)
+         << " teams=" << whole(1, 2) << "\n";
+  }
+
+  void write_jobs() {
+    out_ << "mixed jobs=" << whole(12, 40) << " over=" << whole(30, 90) << " run=" << whole(5, 20)
+         << "\n";
+    if (chance(0.3)) out_ << "pipelines count=" << whole(2, 4) << " from=5 over=60 run=6\n";
+  }
+
+  void write_trouble() {
+    out_ << "at " << real(troubles_from_s, troubles_until_s) << " ";
+    switch (whole(0, 13)) {
+      case 0:
+        out_ << "crash " << controller() << " for=" << (chance(0.5) ? real(0.05, 1) : real(1, 9));
+        break;
+      case 1:
+        out_ << "freeze " << controller() << " for=" << real(0.5, 12);
+        break;
+      case 2:
+      case 3:
+      case 4:
+        out_ << "cut " << controller() << " from="
+             << one_of(std::array{"state", "peers", "state,peers", "workers", "state,workers",
+                                  "state,peers,cloud,workers"})
+             << " for=" << real(0.5, 15)
+             << " mode=" << one_of(std::array{"drop", "hold", "refuse", "answers"});
+        break;
+      case 5:
+        out_ << (chance(0.5) ? "cut_zone b" : "partition b") << " for=" << real(2, 18)
+             << " mode=" << one_of(std::array{"drop", "hold"});
+        break;
+      case 6:
+        out_ << "outage for=" << real(0.5, 25);
+        break;
+      case 7:
+        out_ << "slow_store by=" << real(0.1, 2) << " for=" << real(2, 20);
+        break;
+      case 8:
+        out_ << "late_writes share=" << real(0.1, 0.6) << " for=" << real(5, 40);
+        break;
+      case 9:
+        out_ << "lost_answers share=" << real(0.1, 0.7) << " for=" << real(5, 40);
+        break;
+      case 10:
+        out_ << "late_reports share=" << real(0.1, 0.5) << " most=25 for=" << real(10, 40);
+        break;
+      case 11:
+        out_ << one_of(std::array{"deaf", "mute", "hang"}) << " machines=" << whole(1, 4)
+             << " for=" << real(2, 20);
+        break;
+      case 12:
+        out_ << "cancel jobs=" << whole(1, 6);
+        break;
+      default:
+        out_ << "meet_the_end share=" << real(0.1, 0.7) << " for=" << real(10, 50);
+        break;
+    }
+    out_ << "\n";
+  }
+
+  std::mt19937_64 random_;
+  std::ostringstream out_;
+};
+
+}  // namespace
+
+std::string random_day(std::uint64_t seed) { return day_writer(seed).write(); }
+
+}  // namespace gingerdrift::testing
--- /dev/null
+++ b/tests/support/random_day.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace gingerdrift::testing {
+
+/// A day in which many kinds of trouble meet, in the language of the kept traces
+/// (tests/traces/README.md). The same seed gives the same day.
+std::string random_day(std::uint64_t seed);
+
+}  // namespace gingerdrift::testing
--- a/tests/support/sim_service.cpp
+++ b/tests/support/sim_service.cpp
@@ -96,6 +96,7 @@
   settings.announced_state_limits = shape.announced;
   state.limit(settings.state_limits);
   for (const auto& team : settings.teams) site.limits[team.name] = team.gpus_max;
+  watch_records();
   processes_.resize(count);
   for (auto& one : processes_) one.runs = first;
   site.takes_dependencies = [this](const std::string& front) {
@@ -105,6 +106,28 @@
   for (std::size_t i = 0; i < count; ++i) start(i);
 }
 
+/// The records themselves: a final record never changes, and a job that has one has no head again.
+void sim_service::watch_records() {
+  const auto final_record = [this](const std::string& job) {
+    return state.peek("gd/final/" + job);
+  };
+  state.on_change = [this, final_record](const std::string& key, const json* value) {
+    const std::string finals = "gd/final/";
+    const std::string heads = "gd/job/";
+    if (key.rfind(finals, 0) == 0 && state.peek(key) != nullptr)
+      site.complain("went_back: final record changed " + key);
+    if (key.rfind(heads, 0) == 0 && value != nullptr && final_record(key.substr(heads.size())))
+      site.complain("went_back: stored anew after its end " + key);
+  };
+  site.stored_end = [this, final_record](const std::string& job) -> std::string {
+    const json* record = final_record(job);
+    if (record == nullptr) record = state.peek("gd/job/" + job);
+    if (record == nullptr || !record->contains("status")) return {};
+    const auto status = record->at("status").get<std::string>();
+    return status == "active" ? std::string() : status;
+  };
+}
+
 void sim_service::start(std::size_t node) {
   auto& mine = processes_[node];
   if (mine.runtime) return;
--- a/tests/support/sim_service.hpp
+++ b/tests/support/sim_service.hpp
@@ -79,6 +79,7 @@
     std::unique_ptr<inline_planner> plans;
     std::unique_ptr<daemon::controller> controller;
   };
+  void watch_records();
   void start_present(std::size_t node, const daemon::platform_settings& own);
   void start_production(std::size_t node, const daemon::platform_settings& own);
   static std::vector<std::string> fronts(std::size_t count);
--- a/tests/support/state_service.cpp
+++ b/tests/support/state_service.cpp
@@ -55,6 +55,7 @@
 }
 
 void state_service::change(const std::string& key, const json* value, std::uint64_t lease) {
+  if (on_change) on_change(key, value);
   if (value == nullptr) {
     if (entries_.erase(key) == 0) return;
     log_.emplace_back(revision_, key, json());
@@ -152,6 +153,12 @@
     });
     return;
   }
+  const bool loses_answer = message.target == "/multi" && !down() && net_.now() < lost_until_ &&
+                            net_.uniform(0, 1) < lost_share_;
+  if (loses_answer) {
+    carry_out(message, [this](const net::response& out) { lost_answers_ += out.status == 200; });
+    return;
+  }
   if (net_.now() >= slow_until_) return carry_out(message, reply);
   net_.after(from_seconds(to_seconds(slower_) * net_.uniform(0.5, 1.5)),
              [this, message, reply] { carry_out(message, reply); });
--- a/tests/support/state_service.hpp
+++ b/tests/support/state_service.hpp
@@ -44,9 +44,17 @@
     late_share_ = share;
     late_until_ = net_.now() + span;
   }
+  /// This share of transactions is carried out at once, and only its answer is lost.
+  void lose_answers(double share, duration span) {
+    lost_share_ = share;
+    lost_until_ = net_.now() + span;
+  }
+  std::size_t lost_answers() const { return lost_answers_; }
   std::size_t late_writes() const { return late_writes_; }    // carried out late
   std::size_t late_refused() const { return late_refused_; }  // of them, by their conditions
   const json* peek(const std::string& key) const;
+  /// Is told of each change before it is made; `value` is null where a key is deleted.
+  std::function<void(const std::string& key, const json* value)> on_change;
 
  private:
   struct entry {
@@ -89,6 +97,9 @@
   time_point slow_until_{};
   double late_share_ = 0;
   time_point late_until_{};
+  double lost_share_ = 0;
+  time_point lost_until_{};
+  std::size_t lost_answers_ = 0;  // of transactions that were carried out
   std::size_t late_writes_ = 0;
   std::size_t late_refused_ = 0;
   std::size_t value_bytes_ = std::size_t{1} << 30;
