--- a/src/front/answers.hpp
+++ b/src/front/answers.hpp
@@ -7,6 +7,10 @@
 
 namespace gingerdrift::front {
 
+/// How old what a node knows of an unfinished job may be when it tells it: as long as a call to
+/// whoever knows may take. Only what lay here while the process stood still is older.
+constexpr duration longest_answer_age = milliseconds(1500);
+
 /// 503: the user should come back after a moment, on a new connection that may reach another
 /// controller.
 void reply_later(const net::reply_fn& reply, const char* why);
--- a/src/front/state_reader.cpp
+++ b/src/front/state_reader.cpp
@@ -7,50 +7,63 @@
 
 namespace gingerdrift::front {
 
-state_reader::state_reader(store::client& store, final_cache& finals, store::cancellation_told told)
-    : store_(store), finals_(finals), told_(told) {}
+state_reader::state_reader(net::runtime& runtime, store::client& store, final_cache& finals,
+                           store::cancellation_told told)
+    : runtime_(runtime), store_(store), finals_(finals), told_(told) {}
 
 state_reader::~state_reader() { *alive_ = false; }
 
 void state_reader::read_key(const std::string& key, const net::reply_fn& reply, found_fn found,
                             std::function<void()> absent) {
-  store_.get_for_user(key, [reply, found = std::move(found), absent = std::move(absent),
+  store_.get_for_user(key, [this, reply, found = std::move(found), absent = std::move(absent),
                             alive = alive_](const store::result& answer) {
     if (!*alive) return;
-    if (answer.status == 404) return absent();
-    if (!answer.ok() || answer.entries.empty())
-      return reply_later(reply, "the state service does not answer");
-    found(answer.entries.front());
+    if (answer.ok() && !answer.entries.empty()) return found(answer);
+    if (answer.status != 404) return reply_later(reply, "the state service does not answer");
+    if (outdated(answer)) return reply_later(reply, "what was read is too old");
+    absent();
   });
 }
 
+/// What a reading shows was so when it was asked for. It may have lain here while the process stood
+/// still; all but a final state may have changed meanwhile, and others may have told so.
+bool state_reader::outdated(const store::result& reading) const {
+  return runtime_.now() - reading.sent > longest_answer_age;
+}
+
 /// The final record first: it never changes, whatever else there is. Where there is none, the head;
 /// and where that is missing too, the job has moved between the two readings or was never accepted.
 void state_reader::read(const std::string& id, const net::reply_fn& reply) {
   read_key(
       store::final_key(id), reply,
-      [this, id, reply](const store::entry& record) { reply_from_final(id, record, reply); },
+      [this, id, reply](const store::result& reading) {
+        reply_from_final(id, reading.entries.front(), reply);
+      },
       [this, id, reply] { read_head(id, reply); });
 }
 
 void state_reader::read_head(const std::string& id, const net::reply_fn& reply) {
   read_key(
       store::head_key(id), reply,
-      [this, id, reply](const store::entry& head) { reply_from_head(id, head, reply); },
+      [this, id, reply](const store::result& reading) { reply_from_head(id, reading, reply); },
       [this, id, reply] { read_final_again(id, reply); });
 }
 
 void state_reader::read_final_again(const std::string& id, const net::reply_fn& reply) {
   read_key(
       store::final_key(id), reply,
-      [this, id, reply](const store::entry& record) { reply_from_final(id, record, reply); },
+      [this, id, reply](const store::result& reading) {
+        reply_from_final(id, reading.entries.front(), reply);
+      },
       [reply] {
         reply({404, write_error("no such job"), std::nullopt, false});
       });
 }
 
-void state_reader::reply_from_head(const std::string& id, const store::entry& head,
+void state_reader::reply_from_head(const std::string& id, const store::result& reading,
                                    const net::reply_fn& reply) const {
+  if (outdated(reading)) return reply_later(reply, "what was read is too old");
+  const store::entry& head = reading.entries.front();
   try {
     const auto record = store::read_head(head.value, head.version);
     if (record.spec.id != id) throw std::invalid_argument("it names another job");
@@ -77,8 +90,8 @@
                                  const net::reply_fn& reply) {
   read_key(
       store::head_key(id), reply,
-      [reply](const store::entry& head) {
-        spdlog::error("head beside a final record key={}", head.key);
+      [reply](const store::result& reading) {
+        spdlog::error("head beside a final record key={}", reading.entries.front().key);
         reply_later(reply, "its records contradict each other");
       },
       [this, id, end, reply] {
--- a/src/front/state_reader.hpp
+++ b/src/front/state_reader.hpp
@@ -13,7 +13,8 @@
 /// Answers users' questions about a job from the state service.
 class state_reader {
  public:
-  state_reader(store::client& store, final_cache& finals, store::cancellation_told told);
+  state_reader(net::runtime& runtime, store::client& store, final_cache& finals,
+               store::cancellation_told told);
   ~state_reader();
   state_reader(const state_reader&) = delete;
   state_reader& operator=(const state_reader&) = delete;
@@ -22,7 +23,7 @@
   void read(const std::string& id, const net::reply_fn& reply);
 
  private:
-  using found_fn = std::function<void(const store::entry&)>;
+  using found_fn = std::function<void(const store::result&)>;
   /// Reads a key for a question about a job: replies 503 itself if the store doesn't answer.
   void read_key(const std::string& key, const net::reply_fn& reply, found_fn found,
                 std::function<void()> absent);
@@ -30,11 +31,13 @@
   void read_final_again(const std::string& id, const net::reply_fn& reply);
   void check_no_head(const std::string& id, const store::stored_end& end,
                      const net::reply_fn& reply);
-  void reply_from_head(const std::string& id, const store::entry& head,
+  bool outdated(const store::result& reading) const;
+  void reply_from_head(const std::string& id, const store::result& reading,
                        const net::reply_fn& reply) const;
   void reply_from_final(const std::string& id, const store::entry& record,
                         const net::reply_fn& reply);
 
+  net::runtime& runtime_;
   store::client& store_;
   final_cache& finals_;
   store::cancellation_told told_;
--- a/src/front/user_interface.cpp
+++ b/src/front/user_interface.cpp
@@ -26,9 +26,10 @@
 
 user_interface::user_interface(net::runtime& runtime, store::client& store, const options& how,
                                std::vector<daemon::team> teams, node_services& services)
-    : services_(services),
+    : runtime_(runtime),
+      services_(services),
       finals_(how.final_cache),
-      states_(store, finals_, how.cancellation),
+      states_(runtime, store, finals_, how.cancellation),
       submissions_(runtime, store, how.submissions, std::move(teams), how.node, services, finals_,
                    states_) {}
 
@@ -78,13 +79,15 @@
     return reply_state(id, *state, reply);
   }
   if (forwarded) return reply_later(reply, "not the leader");
-  services_.forward_to_leader(message,
-                              [this, id, reply, alive = alive_](const net::response& theirs) {
-                                if (!*alive) return;
-                                if (theirs.status == 200 || theirs.status == 404)
-                                  return reply(theirs);
-                                states_.read(id, reply);
-                              });
+  const time_point asked = runtime_.now();
+  services_.forward_to_leader(
+      message, [this, id, asked, reply, alive = alive_](const net::response& theirs) {
+        if (!*alive) return;
+        const bool told = theirs.status == 200 || theirs.status == 404;
+        const bool outdated = runtime_.now() - asked > longest_answer_age;
+        if (told && !outdated) return reply(theirs);
+        states_.read(id, reply);
+      });
 }
 
 void user_interface::withdraw(const std::string& id, const net::request& message, bool forwarded,
--- a/src/front/user_interface.hpp
+++ b/src/front/user_interface.hpp
@@ -43,6 +43,7 @@
                 const net::reply_fn& reply);
   void withdraw_unknown(const std::string& id, const net::reply_fn& reply);
 
+  net::runtime& runtime_;
   node_services& services_;
   final_cache finals_;
   state_reader states_;
--- a/tests/rule_checks_test.cpp
+++ b/tests/rule_checks_test.cpp
@@ -1,7 +1,7 @@
 // Each check of the rules, seen failing: machines and answers that break it, without the service.
 #include <gtest/gtest.h>
 
-#include "support/sim_site.hpp"
+#include "support/sim_service.hpp"
 
 namespace gingerdrift::testing {
 
@@ -242,6 +242,72 @@
   EXPECT_TRUE(complains("went_back run-1 cancelled -> running"));
 }
 
+TEST_F(broken_service, went_back_to_another_end_however_early_it_was_asked) {
+  submit("run-1");
+  answer = [this](const net::request& asked, const net::reply_fn& reply) {
+    const bool withdraws = asked.target.ends_with("/withdraw");
+    net.after(withdraws ? duration::zero() : duration(milliseconds(300)), [withdraws, reply] {
+      reply(
+          {200, json({{"status", withdraws ? "cancelled" : "done"}}).dump(), std::nullopt, false});
+    });
+  };
+  net.run_for(milliseconds(1100));  // a poll is under way
+  site.withdraw("run-1");
+  net.run_for(seconds(1));
+  EXPECT_TRUE(complains("went_back run-1 cancelled -> done"));
+}
+
+TEST_F(broken_service, went_back_on_one_path_of_one_node) {
+  site.close_looks(seconds(60));
+  for (const std::string older : {"GET /work/run-1", "POST /work", "POST /work/run-3/withdraw"}) {
+    const std::string id = older.ends_with("/work") ? "run-2" : older.substr(older.find("run-"), 5);
+    answer_with(201, "pending");
+    submit(id);
+    bool told = false;
+    answer = [&told, older](const net::request& asked, const net::reply_fn& reply) {
+      const bool old = told && asked.method + " " + asked.target == older;
+      told = true;
+      reply({200, json({{"status", old ? "pending" : "cancelled"}}).dump(), std::nullopt, false});
+    };
+    site.withdraw(id);
+    net.run_for(seconds(1));
+    EXPECT_TRUE(complains("went_back " + id + " cancelled -> pending")) << older;
+  }
+}
+
+TEST_F(broken_service, went_back_told_what_is_not_stored) {
+  submit("run-1");
+  site.withdraw("run-1");
+  std::string stored = "cancelled";
+  site.stored_end = [&stored](const std::string&) { return stored; };
+  answer_with(200, "cancelled");
+  net.run_for(seconds(3));
+  EXPECT_FALSE(complains("went_back"));
+  stored = "";
+  submit("run-2");
+  site.withdraw("run-2");
+  net.run_for(seconds(3));
+  EXPECT_TRUE(complains("went_back run-2 told cancelled"));
+}
+
+TEST(records, that_go_back_are_seen) {
+  sim_service service(1);
+  const auto write = [&service](const std::string& key, const json& value) {
+    const json body = {{"if", json::array()},
+                       {"then", json::array({{{"write", key}, {"data", value}}})}};
+    service.net.call("test", "state:1", {"POST", "/multi", body.dump()}, seconds(1),
+                     [](const net::response& reply) { ASSERT_EQ(reply.status, 200); });
+    service.net.run_for(seconds(1));
+  };
+  write("gd/final/run-1", {{"status", "done"}, {"done", 1U}});
+  EXPECT_EQ(service.rules_broken(), "");
+  write("gd/final/run-1", {{"status", "cancelled"}, {"done", 1U}});
+  EXPECT_NE(service.rules_broken().find("final record changed gd/final/run-1"), std::string::npos);
+  write("gd/job/run-1", {{"status", "active"}});
+  EXPECT_NE(service.rules_broken().find("stored anew after its end gd/job/run-1"),
+            std::string::npos);
+}
+
 TEST_F(broken_service, invented_and_accepted_what_can_not_run) {
   submit("run-1");
   answer_with(200, "pending");
--- a/tests/support/state_service.cpp
+++ b/tests/support/state_service.cpp
@@ -159,6 +159,12 @@
     carry_out(message, [this](const net::response& out) { lost_answers_ += out.status == 200; });
     return;
   }
+  if (const auto held = held_.extract(message.target); !held.empty()) {
+    carry_out(message, [this, span = held.mapped(), reply](const net::response& out) {
+      net_.after(span, [reply, out] { reply(out); });
+    });
+    return;
+  }
   if (net_.now() >= slow_until_) return carry_out(message, reply);
   net_.after(from_seconds(to_seconds(slower_) * net_.uniform(0.5, 1.5)),
              [this, message, reply] { carry_out(message, reply); });
--- a/tests/support/state_service.hpp
+++ b/tests/support/state_service.hpp
@@ -49,6 +49,8 @@
     lost_share_ = share;
     lost_until_ = net_.now() + span;
   }
+  /// The answer to the next request for this target, made at once, is under way that long.
+  void hold_next_answer(const std::string& target, duration span) { held_[target] = span; }
   std::size_t lost_answers() const { return lost_answers_; }
   std::size_t late_writes() const { return late_writes_; }    // carried out late
   std::size_t late_refused() const { return late_refused_; }  // of them, by their conditions
@@ -97,6 +99,7 @@
   time_point slow_until_{};
   double late_share_ = 0;
   time_point late_until_{};
+  std::map<std::string, duration> held_;
   double lost_share_ = 0;
   time_point lost_until_{};
   std::size_t lost_answers_ = 0;  // of transactions that were carried out
