Dependency lists stay until no stored head names them; finished jobs are looked up in pages

Cause, found by reading and shown by tests that failed: the keys of a long list were deleted before the head that names them was overwritten, so that a successor answered 503 for that job for ever; a malformed list ended the leader's process; after a takeover each finished job that others name took a request; a node refused by the store alone took no submission with awaits. Change: the tracker is divided: dependency_lists reads and deletes lists, progress_lookup reads what became of jobs, in pages and the unreadable ones last. Users' questions about waiting jobs cost nothing while everything is known. Submissions with awaits go to a peer where the store is out of reach.

--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -49,7 +49,7 @@
   void read_types();
   void watch_over();
   void account();
-  bool store_works() const;
+  bool store_works() const override;
 
   net::runtime& runtime_;
   planner& planner_;
--- a/src/dependencies/graph.cpp
+++ b/src/dependencies/graph.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <unordered_set>
 #include <utility>
 
 namespace gingerdrift::dependencies {
@@ -21,7 +22,10 @@
   bool doomed = false;
   for (const auto& name : dependencies) {
     const auto [found, fresh] = nodes_.try_emplace(name);
-    if (fresh) unknown_.insert(name);
+    if (fresh) {
+      unknown_.insert(name);
+      out.unknown.push_back(name);
+    }
     doomed = doomed || found->second.progress == job_progress::cancelled;
     found->second.dependents.insert(job);
     nodes_.at(job).dependencies.insert(name);
@@ -164,25 +168,21 @@
   return found == nodes_.end() ? admission::priority::low : found->second.inherited;
 }
 
-std::set<std::string> graph::ancestors(const std::string& job) const {
+bool graph::ancestors_known(const std::string& job,
+                            const std::function<bool(const std::string&)>& excluded) const {
   std::deque<std::string> next{job};
-  std::set<std::string> found;
+  std::unordered_set<std::string> seen{job};
   while (!next.empty()) {
     const auto current = nodes_.find(next.front());
     next.pop_front();
     if (current == nodes_.end()) continue;
     for (const auto& name : current->second.dependencies) {
-      if (found.insert(name).second) next.push_back(name);
+      if (!seen.insert(name).second) continue;
+      if (nodes_.at(name).progress != job_progress::unfinished || excluded(name)) return false;
+      next.push_back(name);
     }
   }
-  return found;
-}
-
-bool graph::ancestors_known(const std::string& job) const {
-  const auto names = ancestors(job);
-  return std::all_of(names.begin(), names.end(), [this](const std::string& name) {
-    return nodes_.at(name).progress == job_progress::unfinished;
-  });
+  return true;
 }
 
 std::vector<std::string> graph::unknown() const { return {unknown_.begin(), unknown_.end()}; }
--- a/src/dependencies/graph.hpp
+++ b/src/dependencies/graph.hpp
@@ -23,6 +23,7 @@
     std::vector<std::string> ready;      // wait for nothing any more
     std::vector<std::string> cancelled;  // depend on a cancelled job, directly or through others
     std::vector<std::string> priority;   // their inherited priority differs from before
+    std::vector<std::string> unknown;  // others wait for them from now on; nothing is known of them
   };
 
   /// A job that waits for others.
@@ -39,12 +40,13 @@
   bool has_dependents(const std::string& job) const;
   /// The highest priority among its dependents, direct or not; `low` if it has none.
   admission::priority inherited_priority(const std::string& job) const;
-  /// Every job that it needs, directly or through others, and that isn't known to be done.
-  std::set<std::string> ancestors(const std::string& job) const;
-  /// Whether each of these is known not to be cancelled.
-  bool ancestors_known(const std::string& job) const;
+  /// Whether nothing that it needs, directly or through others, is unknown, and the condition holds
+  /// for none of it.
+  bool ancestors_known(const std::string& job,
+                       const std::function<bool(const std::string&)>& excluded) const;
   /// Jobs that others wait for and of which nothing is known.
   std::vector<std::string> unknown() const;
+  bool all_known() const { return unknown_.empty(); }
   std::size_t waiting_jobs() const { return waiting_; }
 
  private:
--- a/src/dependencies/tracker.hpp
+++ b/src/dependencies/tracker.hpp
@@ -5,7 +5,9 @@
 #include <set>
 #include <string>
 
+#include "dependencies/dependency_lists.hpp"
 #include "dependencies/graph.hpp"
+#include "dependencies/progress_lookup.hpp"
 #include "store/job_book.hpp"
 
 namespace gingerdrift::dependencies {
@@ -31,7 +33,6 @@
 class tracker {
  public:
   tracker(net::runtime& runtime, store::client& store, store::job_book& book, tracker_owner& owner);
-  ~tracker();
   tracker(const tracker&) = delete;
   tracker& operator=(const tracker&) = delete;
 
@@ -54,29 +55,23 @@
  private:
   bool cancellation_under_way(const std::string& id) const;
   void add_to_graph(store::job& one);
-  void read_list(const std::string& job, const store::dependency_parts& parts, std::size_t index);
   void list_read(const std::string& job);
-  void forget_list(const store::dependency_parts& parts);
   void apply(const graph::changes& changes);
   void make_ready(const std::string& job);
   void cancel(const std::string& job);
-  void look_for_unknown();
-  bool known_here(const std::string& job);
-  void read_final(const std::string& job);
-  void read_head(const std::string& job);
-  void read_again(const std::string& job);
-  void read_done(const std::string& job);
+  bool settle(const std::string& job);
+  bool settle_in_memory(const std::string& job);
+  bool take_head(const store::entry& head, time_point asked);
 
   net::runtime& runtime_;
-  store::client& store_;
   store::job_book& book_;
   tracker_owner& owner_;
   graph graph_;
+  dependency_lists lists_;
+  progress_lookup lookup_;
   bool started_ = false;
-  std::set<std::string> reading_;  // dependencies whose records are being read
-  std::size_t reads_under_way_ = 0;
-  std::set<std::string> lists_;  // jobs whose dependencies are still being read
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  /// Jobs in the book whose cancellation isn't known to be stored.
+  std::set<std::string> cancelling_;
 };
 
 }  // namespace gingerdrift::dependencies
--- a/src/front/node_services.hpp
+++ b/src/front/node_services.hpp
@@ -28,6 +28,8 @@
   virtual void forward_to_leader(const net::request& message, net::reply_fn done) = 0;
   virtual void forward_to_peer_with_store(const net::request& message, net::reply_fn done) = 0;
   virtual bool healthy() const = 0;
+  /// The state service answers this node.
+  virtual bool store_works() const = 0;
   virtual const std::vector<admission::machine_type>& machine_types() const = 0;
   virtual std::string status() = 0;
   /// Every controller runs a version that knows of dependencies.
--- a/src/front/submissions.cpp
+++ b/src/front/submissions.cpp
@@ -77,8 +77,11 @@
   if (std::find(names.begin(), names.end(), asked->job.spec.id) != names.end())
     return refuse_unless_known(asked, "awaits names the job itself");
   // A version that knows nothing of dependencies would leave the job waiting if it led.
-  if (!services_.dependencies_supported())
+  if (!services_.dependencies_supported()) {
+    // A node that the store refuses alone can't know; its peers can.
+    if (!services_.store_works()) return store_unreachable(asked);
     return reply_later(asked->reply, "not every controller supports dependencies yet");
+  }
   ++waiting_;
   accepted_.check(names, [this, asked, alive = alive_](acceptance_check::verdict found) {
     if (!*alive) return;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -162,9 +162,18 @@
   refuse(std::move(done));
 }
 
+bool client::spare_requests() {
+  return requests_.available(runtime_.now()) >= requests_.rate() / 2;
+}
+
 void client::get_in_background(const std::string& key, result_fn done) {
-  const bool spare = requests_.available(runtime_.now()) >= requests_.rate() / 2;
-  if (spare) return get(key, std::move(done));
+  if (spare_requests()) return get(key, std::move(done));
+  refuse(std::move(done));
+}
+
+void client::list_in_background(const std::string& prefix, const std::string& after,
+                                std::size_t most, result_fn done) {
+  if (spare_requests()) return list_page(prefix, after, most, std::move(done));
   refuse(std::move(done));
 }
 
@@ -179,7 +188,13 @@
 }
 
 void client::list(const std::string& prefix, const std::string& after, result_fn done) {
-  std::string target = "/store?under=" + prefix + "&most=200";
+  constexpr std::size_t page_size = 200;
+  list_page(prefix, after, page_size, std::move(done));
+}
+
+void client::list_page(const std::string& prefix, const std::string& after, std::size_t most,
+                       result_fn done) {
+  std::string target = "/store?under=" + prefix + "&most=" + std::to_string(most);
   if (!after.empty()) target += "&from=" + after;
   send("GET", target, {}, list_deadline, 0, std::move(done));
 }
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -70,6 +70,9 @@
   /// renewals and users' questions go first. 429 where there is none.
   void get_in_background(const std::string& key, result_fn done);
   void list(const std::string& prefix, const std::string& after, result_fn done);
+  /// A page of at most that many entries, within the same budget as `get_in_background`.
+  void list_in_background(const std::string& prefix, const std::string& after, std::size_t most,
+                          result_fn done);
   /// Only compares, for a user's question: 409 with the keys that differ.
   void compare_for_user(const std::vector<condition>& conditions, result_fn done);
   void txn(const std::vector<condition>& conditions, const std::vector<operation>& operations,
@@ -91,6 +94,9 @@
  private:
   void send(const std::string& method, const std::string& target, std::string body,
             duration deadline, double writes, result_fn done);
+  bool spare_requests();
+  void list_page(const std::string& prefix, const std::string& after, std::size_t most,
+                 result_fn done);
   void refuse(result_fn done);
   void refused_for_rate(double writes);
   void apply_rates();
--- a/src/store/job.cpp
+++ b/src/store/job.cpp
@@ -231,7 +231,10 @@
   return parts;
 }
 
-std::vector<std::string> read_dependency_part(const json& record) {
+std::optional<std::vector<std::string>> read_dependency_part(const json& record) {
+  const auto is_text = [](const json& item) { return item.is_string(); };
+  if (!record.is_array() || !std::all_of(record.begin(), record.end(), is_text))
+    return std::nullopt;
   return record.get<std::vector<std::string>>();
 }
 
--- a/src/store/job.hpp
+++ b/src/store/job.hpp
@@ -147,7 +147,8 @@
 /// Cuts a list of dependencies into values of at most that size.
 std::vector<nlohmann::json> write_dependency_parts(const std::vector<std::string>& names,
                                                    std::size_t value_bytes);
-std::vector<std::string> read_dependency_part(const nlohmann::json& record);
+/// Nothing if it is malformed.
+std::optional<std::vector<std::string>> read_dependency_part(const nlohmann::json& record);
 std::string dependency_part_key(const dependency_parts& parts, std::size_t index);
 /// These throw on records that are not ours to read.
 job read_head(const nlohmann::json& record, std::uint64_t version);
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -77,6 +77,7 @@
   }
   void forward_to_peer_with_store(const net::request&, net::reply_fn done) override { done({}); }
   bool healthy() const override { return true; }
+  bool store_works() const override { return true; }
   const std::vector<admission::machine_type>& machine_types() const override { return types; }
   std::string status() override { return "{}"; }
   bool dependencies_supported() const override { return true; }
--- a/tests/dependencies_test.cpp
+++ b/tests/dependencies_test.cpp
@@ -66,9 +66,12 @@
   graph jobs;
   jobs.add("middle", priority::low, {"root"});
   jobs.add("end", priority::low, {"middle"});
-  EXPECT_FALSE(jobs.ancestors_known("end")) << "its grandparent may be cancelled";
+  const auto none = [](const std::string&) { return false; };
+  EXPECT_FALSE(jobs.ancestors_known("end", none)) << "its grandparent may be cancelled";
   jobs.set_progress("root", job_progress::unfinished);
-  EXPECT_TRUE(jobs.ancestors_known("end"));
+  EXPECT_TRUE(jobs.ancestors_known("end", none));
+  const auto root = [](const std::string& name) { return name == "root"; };
+  EXPECT_FALSE(jobs.ancestors_known("end", root)) << "its cancellation is under way";
   EXPECT_TRUE(jobs.unknown().empty());
 }
 
@@ -197,6 +200,18 @@
   for (std::size_t node = 0; node < 3; ++node) EXPECT_EQ(submit("run-50", {"run-1"}, node), 503);
 }
 
+// A node that came back while the store refuses it alone can't read which versions run; its peers
+// can.
+TEST_F(submissions_with_dependencies, are_taken_by_a_node_that_the_store_refuses_alone) {
+  const std::size_t node = (*service.leader() + 1) % 3;
+  service.crash_for(node, seconds(1));
+  service.net.cut("node-" + std::to_string(node), "state", seconds(60), sim_net::cut_mode::refuse);
+  service.net.run_for(seconds(10));
+  expect_job("run-50");
+  EXPECT_EQ(submit("run-50", {"run-1"}, node), 201);
+  EXPECT_EQ(submit("run-51", {"run-999"}, node), 422);
+}
+
 // A successor finds a chain in the records, each stage waiting for the one before.
 TEST_F(submissions_with_dependencies, a_chain_is_called_pending_again_after_a_takeover) {
   for (int i = 50; i < 54; ++i) {
--- a/tests/dependency_tracker_test.cpp
+++ b/tests/dependency_tracker_test.cpp
@@ -31,8 +31,31 @@
     tracker.job_added(kept);
     return kept;
   }
+  void write(const std::string& key, const json& value) {
+    client.txn({}, {{key, value, 0, false}}, [](const store::result&) {});
+    net.run_for(milliseconds(25));
+  }
+  /// A job whose head names its dependencies' list, which is stored beside it.
+  store::job& add_with_list(const std::string& id, const std::vector<std::string>& dependencies,
+                            const json& stored_list = nullptr) {
+    store::job one;
+    one.spec.id = id;
+    one.units.resize(1);
+    one.waiting = true;
+    one.more_dependencies = {"gd/dependencies/" + id + "/", 1};
+    write("gd/dependencies/" + id + "/0", stored_list.is_null() ? json(dependencies) : stored_list);
+    write(store::head_key(id), store::write_head(one));
+    std::uint64_t version = 0;
+    client.get(store::head_key(id),
+               [&](const store::result& found) { version = found.entries.front().version; });
+    net.run_for(milliseconds(25));
+    store::job& kept = book.insert(store::read_head(*state.peek(store::head_key(id)), version));
+    tracker.job_added(kept);
+    return kept;
+  }
   void end(store::job& one, store::job_status status) {
     one.status = status;
+    if (status == store::job_status::cancelled) tracker.job_cancelled(one.spec.id);
     book.retire(one);
   }
   bool over(const std::string& id) { return book.find(id) == nullptr; }
@@ -145,6 +168,93 @@
   EXPECT_TRUE(tracker.certain(next));
 }
 
+// A successor that found the head without its list could never tell what the job waits for.
+TEST_F(waiting_jobs, keep_their_stored_lists_until_no_stored_head_names_them) {
+  std::size_t lists_deleted = 0;
+  state.on_change = [&](const std::string& key, const json* value) {
+    const std::string lists = "gd/dependencies/";
+    if (key.rfind(lists, 0) != 0 || value != nullptr) return;
+    ++lists_deleted;
+    const std::string id = key.substr(lists.size(), key.find('/', lists.size()) - lists.size());
+    const json* head = state.peek(store::head_key(id));
+    EXPECT_TRUE(head == nullptr || !head->contains("more_dependencies")) << key;
+  };
+  store::job& first = add("run-1");
+  store::job& doomed = add("run-2");
+  add_with_list("run-11", {"run-1"});
+  add_with_list("run-12", {"run-2"});
+  store::job& called_off = add_with_list("run-13", {"run-1"});
+  net.run_for(seconds(2));
+  end(first, store::job_status::done);
+  end(doomed, store::job_status::cancelled);
+  end(called_off, store::job_status::cancelled);
+  net.run_for(seconds(8));
+  EXPECT_FALSE(book.find("run-11")->waiting);
+  EXPECT_TRUE(over("run-12"));
+  EXPECT_TRUE(over("run-13"));
+  EXPECT_EQ(lists_deleted, 3U);
+}
+
+TEST_F(waiting_jobs, whose_lists_are_malformed_harm_nobody_else) {
+  store::job& first = add("run-1");
+  const store::job& broken = add_with_list("run-11", {"run-1"}, {{"not", "a list"}});
+  const store::job& fine = add("run-12", {"run-1"});
+  net.run_for(seconds(2));
+  EXPECT_FALSE(tracker.certain(broken));
+  EXPECT_TRUE(tracker.certain(fine));
+  end(first, store::job_status::done);
+  net.run_for(seconds(2));
+  EXPECT_FALSE(fine.waiting);
+  EXPECT_TRUE(broken.waiting);
+  write("gd/dependencies/run-11/0", json::array({"run-1"}));
+  net.run_for(seconds(15));
+  EXPECT_FALSE(broken.waiting) << "once somebody has repaired it";
+}
+
+TEST_F(waiting_jobs, are_not_kept_from_a_reading_by_records_that_cannot_be_read) {
+  constexpr int malformed = 40;
+  for (int i = 0; i < malformed; ++i) {
+    const std::string number = std::to_string(100 + i);
+    write("gd/final/run-" + number, {{"status", "odd"}});
+    add("run-5" + number, {"run-" + number});
+  }
+  write("gd/final/run-900", {{"status", "done"}, {"done", 1}});
+  const store::job& fine = add("run-950", {"run-900"});
+  net.run_for(seconds(5));
+  EXPECT_FALSE(fine.waiting);
+}
+
+// After a takeover each of them names a job that ended long ago. Their users are told to come back
+// until these are read, so that it must not take a request each.
+TEST_F(waiting_jobs, by_the_thousand_are_certain_after_few_requests) {
+  constexpr int count = 3000;
+  state.limit({1e9, 1e9, 1e3, 1 << 20});
+  for (int i = 0; i < count; ++i) {
+    const json record = {{"status", i % 2 == 0 ? "done" : "cancelled"}, {"done", 1}};
+    write("gd/final/run-" + std::to_string(10000 + i), record);
+  }
+  net.run_for(seconds(30));
+  state.limit(limits);
+  const std::size_t before = state.requests_taken();
+  const time_point begun = net.now();
+  add("run-1");
+  for (int i = 0; i < count; ++i)
+    add("run-" + std::to_string(20000 + i), {"run-1", "run-" + std::to_string(10000 + i)});
+  std::size_t uncertain = count;
+  while (uncertain > 0 && net.now() - begun < seconds(60)) {
+    net.run_for(milliseconds(200));
+    uncertain = 0;
+    for (int i = 0; i < count; ++i) {
+      const auto* one = book.find("run-" + std::to_string(20000 + i));
+      uncertain +=
+          one != nullptr && one->status == store::job_status::active && !tracker.certain(*one);
+    }
+  }
+  EXPECT_EQ(uncertain, 0U);
+  EXPECT_LT(net.now() - begun, seconds(10));
+  EXPECT_LT(state.requests_taken() - before, 300U);
+}
+
 // A cascade wider than a transaction and than a second's writes; its leader ends in the middle.
 TEST_F(waiting_jobs, of_a_wide_cascade_are_all_cancelled_by_a_successor) {
   store::job& root = add("run-1");
--- a/tests/support/state_service.cpp
+++ b/tests/support/state_service.cpp
@@ -173,6 +173,7 @@
 void state_service::carry_out(const net::request& message, const net::reply_fn& reply) {
   const std::string path = message.target.substr(0, message.target.find('?'));
   if (down()) return send(reply, 503, {{"error", "trouble"}});
+  ++requests_taken_;
   if (!requests_.take(net_.now())) {
     ++refused_for_rate_;
     return send(reply, 429, {{"error", "too many requests"}});
--- a/tests/support/state_service.hpp
+++ b/tests/support/state_service.hpp
@@ -33,6 +33,7 @@
   }
   std::size_t refused_for_size() const { return refused_for_size_; }
   std::size_t refused_for_rate() const { return refused_for_rate_; }
+  std::size_t requests_taken() const { return requests_taken_; }
   std::size_t writes_taken() const { return writes_taken_; }
   /// Each answer takes so much longer until then.
   void slow(duration more, duration span) {
@@ -94,6 +95,7 @@
   time_point down_until_{};
   std::size_t biggest_ = 0;
   std::size_t most_operations_ = 0;
+  std::size_t requests_taken_ = 0;
   std::size_t writes_taken_ = 0;
   duration slower_{};
   time_point slow_until_{};
