--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -35,7 +35,8 @@
       rules_(std::move(rules)),
       store_(runtime, platform_.state, platform_.state_limits, platform_.announced_state_limits,
              {request_share, write_share,
-              user_share / static_cast<double>(platform_.peers.size() + 1)}) {
+              user_share / static_cast<double>(platform_.peers.size() + 1)}),
+      redirected_reports_(platform_.report) {
   const store::service_limits sizes =
       store::writable_sizes(platform_.state_limits, platform_.announced_state_limits);
   front::node_services& services = *this;
@@ -63,7 +64,7 @@
     if (leads() && front::valid_id(job)) term_->look_up(job);
   };
   talk.store_works = [this] { return store_works(); };
-  talk.reports_seen = [this] { return static_cast<std::uint64_t>(redirected_reports_.size()); };
+  talk.reports_seen = [this] { return redirected_reports_.count(runtime_.now()); };
   talk.leader = [this] {
     return std::make_pair(elector_->leader().node, elector_->leader().token);
   };
@@ -227,8 +228,6 @@
   if (now - watched_ > stood_still)
     spdlog::info("this process stood still for_s={:.1f}", to_seconds(now - watched_));
   watched_ = now;
-  std::erase_if(redirected_reports_,
-                [&](time_point at) { return now - at > platform_.report * 2; });
   if (!leads() || term_->machines() == 0) return;
   // Of many machines one at least reports in each period, give or take a quarter, so their silence
   // is told sooner; a worker that gets no answer knocks elsewhere after 4 s. Workers still on their
@@ -274,8 +273,7 @@
       }
     }
     ++metrics_.redirected;
-    constexpr std::size_t most_redirected = 1000;
-    if (redirected_reports_.size() < most_redirected) redirected_reports_.push_back(runtime_.now());
+    redirected_reports_.add(runtime_.now());
     const auto& leader = elector_->leader();
     reply({421, workers::redirect(leader.node == platform_.node ? "" : leader.node), std::nullopt,
            false});
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "base/recent_count.hpp"
 #include "daemon/term.hpp"
 #include "front/user_interface.hpp"
 #include "leadership/elector.hpp"
@@ -64,8 +65,8 @@
   std::unique_ptr<upgrade::version_registry> versions_;
   std::unique_ptr<term> term_;
   std::vector<admission::machine_type> types_;
-  time_point watched_{};                        // when watch_over last ran
-  std::vector<time_point> redirected_reports_;  // reports of workers this node redirected lately
+  time_point watched_{};             // when watch_over last ran
+  recent_count redirected_reports_;  // reports of workers that this node redirected
   net::timer_id types_timer_ = 0;
   net::timer_id watch_timer_ = 0;
   net::timer_id account_timer_ = 0;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "daemon/controller.hpp"
+#include "daemon/socket_plan.hpp"
 #include "net/http_server.hpp"
 #include "net/uv_runtime.hpp"
 
@@ -33,11 +34,8 @@
 
 int run(const daemon::platform_settings& platform, const daemon::operator_settings& rules) {
   net::client_limits limits;
-  // The front takes the most: every worker of a full fleet keeps a connection open, and so do
-  // users. The calls to workers, store and cloud come next; the rest is a reserve for connections
-  // that wait to be accepted or are being closed: without it, a full front and many stops at once
-  // came within sixty of the limit, where the store can't be reached any more.
-  limits.open_total = platform.max_connections * 3 / 20;
+  const auto sockets = daemon::socket_plan::of(platform.max_connections);
+  limits.open_total = sockets.calls;
   net::uv_runtime runtime(limits);
   admission::policy policy;
   policy.spot_first = rules.pool_order.front() == "spot";
@@ -56,13 +54,15 @@
   daemon::controller controller(runtime, planner, platform, rules, seed);
 
   net::server_limits front_limits;
-  front_limits.connections = platform.max_connections * 7 / 10;
+  front_limits.connections = sockets.front;
+  front_limits.backlog = sockets.front_backlog;
   net::http_server front(runtime, front_limits,
                          [&](const net::request& message, const net::reply_fn& reply) {
                            controller.handle_front(message, reply);
                          });
   net::server_limits mesh_limits;
-  mesh_limits.connections = 64;
+  mesh_limits.connections = sockets.mesh;
+  mesh_limits.backlog = sockets.mesh_backlog;
   mesh_limits.body_bytes = std::size_t{128} << 10;
   net::http_server mesh(runtime, mesh_limits,
                         [&](const net::request& message, const net::reply_fn& reply) {
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -79,13 +79,13 @@
   duration refusal_backoff = seconds(10);
   double boot_patience = 3.0;
   duration silent_release = seconds(0);  // 0: the workers' lease
-  std::uint32_t machines_max = 5000;
+  std::uint32_t machines_max = 10000;
   // workers
   std::uint32_t sick_jobs = 2;
   duration broken_backoff = seconds(10);
   // front
   std::uint32_t waiting_submissions = 64;
-  std::uint32_t final_cache = 4096;
+  std::uint32_t final_cache = 16384;
 };
 
 platform_settings read_platform_settings(const std::string& file);
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "daemon/socket_plan.hpp"
 #include "workers/deputy.hpp"
 
 namespace gingerdrift::daemon {
@@ -19,7 +20,12 @@
 
 workers::options worker_options(const platform_settings& platform, const operator_settings& rules,
                                 duration grace) {
-  return {platform.report, platform.worker_lease, grace, rules.sick_jobs, rules.broken_backoff};
+  // A question that goes unanswered holds a socket for about two seconds.
+  constexpr std::size_t probe_share = 4;
+  constexpr std::size_t least_probes = 20;
+  const auto calls = socket_plan::of(platform.max_connections).calls;
+  return {platform.report, platform.worker_lease, grace,
+          rules.sick_jobs, rules.broken_backoff,  std::max(least_probes, calls / probe_share)};
 }
 
 fleet::options fleet_options(const platform_settings& platform, const operator_settings& rules) {
@@ -59,22 +65,22 @@
       planner_(plans),
       metrics_(measured),
       events_(std::move(events)),
-      book_(runtime, store, leader,
-            store::writable_sizes(platform.state_limits, platform.announced_state_limits),
-            {[this](const std::string& id) {
-               dependencies_.job_stored(id);
-               answer_kept();
-               changed();
-             },
-             [this](const std::string& id, const store::stored_end& end) {
-               spdlog::info("finished job={} state={} term={}", id,
-                            store::status_name(end.status()), token_);
-               events_.finished(id, end);
-               dependencies_.job_gone(id, end);
-               changed();
-             },
-             [this] { runtime_.after(duration::zero(), events_.deposed); },
-             [this] { return events_.valid(); }}),
+      book_(
+          runtime, store, leader,
+          store::writable_sizes(platform.state_limits, platform.announced_state_limits),
+          {[this](const std::string& id) {
+             dependencies_.job_stored(id);
+             changed();
+           },
+           [this](const std::string& id, const store::stored_end& end) {
+             spdlog::info("finished job={} state={} term={}", id, store::status_name(end.status()),
+                          token_);
+             events_.finished(id, end);
+             dependencies_.job_gone(id, end);
+             changed();
+           },
+           [this] { answer_kept(); }, [this] { runtime_.after(duration::zero(), events_.deposed); },
+           [this] { return events_.valid(); }}),
       dependencies_(runtime, store, book_, *this),
       workers_(runtime, book_, worker_options(platform, rules, keeper_grace(platform)), token,
                {[this] { return events_.valid(); }, [this] { changed(); },
--- a/src/daemon/term_machines.cpp
+++ b/src/daemon/term_machines.cpp
@@ -24,6 +24,8 @@
 /// A report is overdue after so many periods: workers vary theirs by a quarter.
 constexpr double overdue_periods = 1.5;
 constexpr duration deaf_patience = seconds(10);
+/// And so many questions that it did not answer: after a cut of a large zone many wait to be asked.
+constexpr std::uint32_t least_probes = 3;
 /// Time for the jobs that failed on a machine to fail elsewhere too, which clears it.
 constexpr duration sick_patience = seconds(15);
 }  // namespace
@@ -147,7 +149,7 @@
     }
     // Many machines that don't hear us are our own trouble as much as theirs.
     if (at.deaf_since && now - *at.deaf_since > silence() + deaf_patience &&
-        deaf_zones_.count(at.where.zone) == 0) {
+        at.unanswered_probes >= least_probes && deaf_zones_.count(at.where.zone) == 0) {
       fleet_.release(name, "answers don't reach it");
       continue;
     }
--- a/src/daemon/term_reports.cpp
+++ b/src/daemon/term_reports.cpp
@@ -11,6 +11,8 @@
 constexpr duration longest_kept = milliseconds(400);
 /// How long a report may wait for the records to be read.
 constexpr duration longest_early = seconds(1);
+/// Of the sockets, how many such reports may hold: users and other calls need the rest.
+constexpr std::size_t early_share = 3;
 }  // namespace
 
 /// A report that frees places is answered with what fills them: a start may only go in a report's
@@ -26,6 +28,7 @@
     return one.phase != attempt_phase::exited;
   };
   if (!ready_ && std::any_of(said.tasks.begin(), said.tasks.end(), live)) {
+    if (early_.size() >= platform_.max_connections / early_share) return answer({});
     early_.push_back({std::move(said), std::move(answer), runtime_.now() + longest_early});
     runtime_.after(longest_early, [this, alive = alive_] {
       if (*alive) answer_early(true);
--- a/src/daemon/term_views.cpp
+++ b/src/daemon/term_views.cpp
@@ -8,7 +8,9 @@
 using store::job_status;
 
 namespace {
-constexpr std::size_t most_waiting_in_view = 256;
+/// Of a job's waiting tasks, how many a pass sees: as many as there are machines, and so many at
+/// least.
+constexpr std::size_t least_waiting_in_view = 256;
 }  // namespace
 
 /// What a pass sees of a job. Written anew only when something it shows has changed: a snapshot of
@@ -67,7 +69,8 @@
     // A job that failed everywhere is tried with one task: hundreds that all fail hold room and
     // images, time after time, that others wait for. Its first success sets it free.
     const bool broken = one.error_rounds > 0 && !spec.gang;
-    const std::size_t most = broken ? std::size_t{one.attempts.empty()} : most_waiting_in_view;
+    const std::size_t of_fleet = std::max(least_waiting_in_view, workers_.all().size());
+    const std::size_t most = broken ? std::size_t{one.attempts.empty()} : of_fleet;
     for (std::uint32_t task = 0; task < spec.tasks && out.waiting.size() < most; ++task) {
       const auto range = one.done.ranges().upper_bound(task);
       if (range != one.done.ranges().begin() && task <= std::prev(range)->second) {
--- a/src/fleet/inventory.cpp
+++ b/src/fleet/inventory.cpp
@@ -62,11 +62,7 @@
   std::erase_if(departed_, [&](const auto& item) { return now - item.second > departed_memory; });
   send_releases();
   send_rentals();
-  if (!listing_ && now >= next_list_ && may_call()) {
-    listing_ = true;
-    next_list_ = now + list_period;
-    list("", {}, now);
-  }
+  if (list_page_due(now) && may_call()) list_page();
   if (now >= next_types_ && may_call()) {
     next_types_ = now + types_period;
     refresh_types();
@@ -101,70 +97,90 @@
                 });
 }
 
-void inventory::list(const std::string& after, std::set<std::string> seen, time_point started) {
+/// A page is due when a new list is, or the one under way has waited for the call budget.
+bool inventory::list_page_due(time_point now) const {
+  return listing_ ? !listing_->in_flight : now >= next_list_;
+}
+
+/// Lists of large fleets have many pages. They take half of the call budget at most, so that
+/// rentals and returns go on beside them.
+duration inventory::list_pause(std::size_t pages) const {
+  constexpr double list_share = 0.5;
+  const duration paced = from_seconds(static_cast<double>(pages) / (budget_.rate() * list_share));
+  return std::max<duration>(list_period, paced);
+}
+
+void inventory::list_page() {
+  if (!listing_) listing_ = listing{{}, runtime_.now(), "", 0, false};
+  listing_->in_flight = true;
+  ++listing_->pages;
   std::string target = "/rentals?most=500";
-  if (!after.empty()) target += "&from=" + after;
-  runtime_.call(
-      how_.cloud, {"GET", target, ""}, call_deadline,
-      [this, seen = std::move(seen), started, alive = alive_](const net::response& reply) mutable {
-        if (!*alive) return;
-        const auto page = reply.status == 200 ? read_machines(reply.body) : std::nullopt;
-        if (!page) {
-          if (reply.status == 200) spdlog::error("cloud: malformed machine list dropped");
-          listing_ = false;
-          trouble();
-          return;
-        }
-        const time_point now = runtime_.now();
-        for (const auto& item : page->machines) {
-          seen.insert(item.name);
-          if (departed_.count(item.name) != 0) continue;
-          auto [found, fresh] = machines_.try_emplace(item.name);
-          machine& one = found->second;
-          if (fresh) {
-            one.name = item.name;
-            one.rented = now - item.age;
-          }
-          one.where = item.where;
-          one.listed = true;
-          one.missing_since = {};
-          if (item.status == machine_status::failed && one.status != machine_status::failed) {
-            one.status = machine_status::failed;
-            spdlog::info("machine failed machine={}", one.name);
-            events_.gone(one.name, "listed as failed");
-            release(one.name, "failed");
-          } else if (one.status != machine_status::failed && !one.reports) {
-            one.status = item.status;
-            if (one.status == machine_status::running && one.running_since == time_point{})
-              one.running_since = now;
-          }
-        }
-        if (page->more && !page->machines.empty()) {
-          // The rest of the list counts as a call like any other.
-          const std::string last = page->machines.back().name;
-          if (may_call()) {
-            list(last, std::move(seen), started);
-            return;
-          }
-          listing_ = false;
-          return;
-        }
-        listing_ = false;
-        finish_list(seen, started);
-        events_.changed();
-      });
+  if (!listing_->after.empty()) target += "&from=" + listing_->after;
+  runtime_.call(how_.cloud, {"GET", target, ""}, call_deadline,
+                [this, alive = alive_](const net::response& reply) {
+                  if (*alive) page_read(reply);
+                });
 }
 
-/// A machine that was listed stays listed until it is gone, but a list may be up to twice the lag
-/// old, and older than the one before: only a longer absence is proof.
-void inventory::finish_list(const std::set<std::string>& seen, time_point started) {
+void inventory::page_read(const net::response& reply) {
+  listing_->in_flight = false;
+  const auto page = reply.status == 200 ? read_machines(reply.body) : std::nullopt;
+  if (!page) {
+    if (reply.status == 200) spdlog::error("cloud: malformed machine list dropped");
+    next_list_ = listing_->started + list_period;
+    listing_.reset();
+    trouble();
+    return;
+  }
+  for (const auto& item : page->machines) note_listed(item);
+  if (!page->more || page->machines.empty()) {
+    next_list_ = listing_->started + list_pause(listing_->pages);
+    finish_list();
+    listing_.reset();
+    events_.changed();
+    return;
+  }
+  // The rest of the list counts as a call like any other. Where the budget has none left it goes on
+  // later: a list that was given up then was never read to its end on a fleet of thousands.
+  listing_->after = page->machines.back().name;
+  if (may_call()) list_page();
+}
+
+void inventory::note_listed(const listed_machine& item) {
   const time_point now = runtime_.now();
+  listing_->seen.insert(item.name);
+  if (departed_.count(item.name) != 0) return;
+  auto [found, fresh] = machines_.try_emplace(item.name);
+  machine& one = found->second;
+  if (fresh) {
+    one.name = item.name;
+    one.rented = now - item.age;
+  }
+  one.where = item.where;
+  one.listed = true;
+  one.missing_since = {};
+  if (item.status == machine_status::failed && one.status != machine_status::failed) {
+    one.status = machine_status::failed;
+    spdlog::info("machine failed machine={}", one.name);
+    events_.gone(one.name, "listed as failed");
+    release(one.name, "failed");
+  } else if (one.status != machine_status::failed && !one.reports) {
+    one.status = item.status;
+    if (one.status == machine_status::running && one.running_since == time_point{})
+      one.running_since = now;
+  }
+}
+
+/// A machine that was listed stays listed until it is gone, but a list may be up to twice the lag
+/// old, and older than the one before: only a longer absence is proof. It is counted between the
+/// beginnings of the lists, since a page may be read long before its list is complete.
+void inventory::finish_list() {
   const duration proof = how_.list_lag * 2 + seconds(2);
   std::vector<std::string> gone;
   for (auto& [name, one] : machines_) {
-    if (seen.count(name) != 0) continue;
-    if (one.missing_since == time_point{}) one.missing_since = started;
-    const duration missing = now - one.missing_since;
+    if (listing_->seen.count(name) != 0) continue;
+    if (one.missing_since == time_point{}) one.missing_since = listing_->started;
+    const duration missing = listing_->started - one.missing_since;
     if (one.listed ? missing > proof : missing > proof * 2 + seconds(10) && !one.reports)
       gone.push_back(name);
   }
--- a/src/fleet/inventory.hpp
+++ b/src/fleet/inventory.hpp
@@ -18,7 +18,7 @@
   duration refusal_backoff = seconds(10);
   double boot_patience = 3;
   duration silence = seconds(30);  // a running machine nobody hears of is returned after this
-  std::uint32_t machines_max = 5000;
+  std::uint32_t machines_max = 10000;
 };
 
 /// A machine as the cloud shows it.
@@ -80,8 +80,20 @@
   };
   void tick();
   void refresh_types();
-  void list(const std::string& after, std::set<std::string> seen, time_point started);
-  void finish_list(const std::set<std::string>& seen, time_point started);
+  /// A reading of the cloud's list, page by page.
+  struct listing {
+    std::set<std::string> seen;
+    time_point started;
+    std::string after;  // the next page begins behind it
+    std::size_t pages = 0;
+    bool in_flight = false;
+  };
+  bool list_page_due(time_point now) const;
+  void list_page();
+  void page_read(const net::response& reply);
+  void note_listed(const listed_machine& item);
+  void finish_list();
+  duration list_pause(std::size_t pages) const;
   void send_rentals();
   void send_releases();
   bool may_call();
@@ -103,7 +115,7 @@
   time_point quiet_until_{};
   time_point next_list_{};
   time_point next_types_{};
-  bool listing_ = false;
+  std::optional<listing> listing_;
   bool release_in_flight_ = false;
   net::timer_id timer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/front/user_interface.hpp
+++ b/src/front/user_interface.hpp
@@ -13,7 +13,7 @@
 
 struct options {
   submission_options submissions;
-  std::uint32_t final_cache = 4096;
+  std::uint32_t final_cache = 16384;
   store::cancellation_told cancellation = store::cancellation_told::when_stored;
   std::string node;
 };
--- a/src/leadership/elector.cpp
+++ b/src/leadership/elector.cpp
@@ -9,6 +9,9 @@
 namespace {
 const char* const token_key = "gd/token";
 constexpr auto watch_time = seconds(8);
+/// A renewal that the store refused for its rate is tried again so soon: a takeover by thousands of
+/// workers and users must not cost the lease that was just won.
+constexpr auto refused_retry = milliseconds(200);
 /// The steady clocks of two machines drift apart by 0.05% at most; some slack for timers on top.
 constexpr double drift = 0.001;
 constexpr auto margin = milliseconds(100);
@@ -27,6 +30,7 @@
   *alive_ = false;
   runtime_.cancel(timer_);
   runtime_.cancel(keeper_);
+  runtime_.cancel(retry_);
 }
 
 duration elector::jitter(duration most) {
@@ -162,25 +166,37 @@
       step_down("the store was out of reach for too long");
       return;
     }
-    const auto term = term_;
-    store_.renew(lease_, period * 2, [this, term, alive = alive_](const store::result& answer) {
-      if (!*alive || !in_office_ || term != term_) return;
-      if (answer.ok()) {
-        const bool back = !valid();
-        valid_until_ =
-            std::max(valid_until_,
-                     answer.sent + from_seconds(to_seconds(options_.lease) * (1 - drift)) - margin);
-        if (back && valid()) spdlog::info("lease held again term={}", token_);
-      } else if (answer.status == 404) {
-        step_down("the lease has ended");
-      } else if (valid()) {
-        spdlog::info("lease not renewed term={} status={}", token_, answer.status);
-      }
-    });
+    renew(period * 2);
     keep();
   });
 }
 
+void elector::renew(duration deadline) {
+  store_.renew(lease_, deadline,
+               [this, deadline, term = term_, alive = alive_](const store::result& answer) {
+                 if (!*alive || !in_office_ || term != term_) return;
+                 if (answer.ok()) return renewed(answer.sent);
+                 if (answer.status == 404) return step_down("the lease has ended");
+                 if (valid())
+                   spdlog::info("lease not renewed term={} status={}", token_, answer.status);
+                 constexpr int too_many_requests = 429;
+                 if (answer.status != too_many_requests || retrying_) return;
+                 retrying_ = true;
+                 retry_ = runtime_.after(refused_retry, [this, deadline] {
+                   retrying_ = false;
+                   if (in_office_) renew(deadline);
+                 });
+               });
+}
+
+/// Counts from when the renewal was sent.
+void elector::renewed(time_point sent) {
+  const bool back = !valid();
+  const time_point until = sent + from_seconds(to_seconds(options_.lease) * (1 - drift)) - margin;
+  valid_until_ = std::max(valid_until_, until);
+  if (back && valid()) spdlog::info("lease held again term={}", token_);
+}
+
 void elector::found_deposed() { step_down("the leader key is another's"); }
 
 void elector::heard(const std::string& node, std::uint64_t token) {
@@ -208,6 +224,8 @@
   leader_.node.clear();
   runtime_.cancel(keeper_);
   keeper_ = 0;
+  runtime_.cancel(retry_);
+  retrying_ = false;
   events_.deposed();
   look_later(milliseconds(50) + jitter(milliseconds(150)));
 }
--- a/src/leadership/elector.hpp
+++ b/src/leadership/elector.hpp
@@ -63,6 +63,8 @@
   void campaign(std::uint64_t stale_version);
   void take(std::uint64_t lease, time_point sent, std::uint64_t stale_version);
   void keep();
+  void renew(duration deadline);
+  void renewed(time_point sent);
   void step_down(const char* why);
   duration jitter(duration most);
 
@@ -81,6 +83,8 @@
   time_point stand_back_until_{};
   net::timer_id timer_ = 0;
   net::timer_id keeper_ = 0;
+  net::timer_id retry_ = 0;
+  bool retrying_ = false;
   std::uint64_t term_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -75,8 +75,9 @@
   if (!parse_address(address, where)) return "not an address: " + address;
   int failed = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&where), 0);
   if (failed == 0) {
+    const int backlog = static_cast<int>(limits_.backlog);
     failed =
-        uv_listen(reinterpret_cast<uv_stream_t*>(listener_), 1024, [](uv_stream_t* s, int bad) {
+        uv_listen(reinterpret_cast<uv_stream_t*>(listener_), backlog, [](uv_stream_t* s, int bad) {
           if (bad == 0) static_cast<http_server*>(s->data)->accept();
         });
   }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -13,6 +13,8 @@
 
 struct server_limits {
   std::size_t connections = 500;
+  /// Connections that wait to be accepted; they hold sockets as well.
+  std::size_t backlog = 64;
   std::size_t body_bytes = std::size_t{64} << 10;
   duration request_deadline = seconds(5);  // from the first byte to the whole request
   duration first_byte = seconds(10);       // a fresh connection must say something
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -12,9 +12,12 @@
 /// falls free, and who submits a job there would be told to come back.
 constexpr double submission_share = 0.1;
 constexpr double most_for_submissions = 3;
-/// For how long after a refusal the announced rates are used. The former ones are tried again
-/// then: a refusal may also come from a moment's burst of all controllers together.
-constexpr duration lowered_for = seconds(60);
+/// For how long after a refusal the announced rates are used. The former ones are tried again then:
+/// a refusal may also come from a moment's burst of all controllers together. Each time that they
+/// are refused again soon, the announced rates stay for twice as long: they have come into force,
+/// and every try costs submissions that are refused beside it.
+constexpr duration shortest_lowered = seconds(60);
+constexpr duration longest_lowered = std::chrono::hours(1);
 
 entry read_entry(const json& item) {
   return {item.at("k").get<std::string>(), item.at("data"), item.at("stamp").get<std::uint64_t>()};
@@ -99,8 +102,14 @@
 void client::refused_for_rate(double writes) {
   const time_point now = runtime_.now();
   if (announced_) {
-    if (now >= lowered_until_) spdlog::info("store: announced rates in use after a refusal");
-    lowered_until_ = now + lowered_for;
+    if (now >= lowered_until_) {
+      const bool again = lowered_before_ && now - *lowered_before_ < lowered_for_;
+      lowered_for_ = again ? std::min(lowered_for_ * 2, longest_lowered) : shortest_lowered;
+      spdlog::info("store: announced rates in use after a refusal for_s={:.0f}",
+                   to_seconds(lowered_for_));
+    }
+    lowered_until_ = now + lowered_for_;
+    lowered_before_ = lowered_until_;
     apply_rates();
   }
   requests_.drain(now);
@@ -113,16 +122,16 @@
 }
 
 void client::send(const std::string& method, const std::string& target, std::string body,
-                  duration deadline, double writes, result_fn done) {
+                  duration deadline, double writes, result_fn done, urgency how) {
   const time_point now = runtime_.now();
   if (lowered_until_ != time_point{} && now >= lowered_until_) {
     lowered_until_ = {};
     apply_rates();
   }
-  if (requests_.available(now) < 1 || writes_.available(now) < writes)
-    return refuse(std::move(done));
-  requests_.take(now);
-  writes_.take(now, writes);
+  const bool affordable = requests_.available(now) >= 1 && writes_.available(now) >= writes;
+  if (!affordable && how == urgency::ordinary) return refuse(std::move(done));
+  requests_.spend(now, 1);
+  writes_.spend(now, writes);
   runtime_.call(address_, {method, target, std::move(body)}, deadline,
                 [this, now, writes, done = std::move(done)](const net::response& reply) {
                   result out;
@@ -223,7 +232,8 @@
 }
 
 void client::renew(std::uint64_t lease, duration deadline, result_fn done) {
-  send("POST", "/leases/" + std::to_string(lease) + "/touch", "{}", deadline, 0, std::move(done));
+  send("POST", "/leases/" + std::to_string(lease) + "/touch", "{}", deadline, 0, std::move(done),
+       urgency::essential);
 }
 
 void client::drop(std::uint64_t lease, result_fn done) {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -92,8 +92,10 @@
   time_point last_failure() const { return last_failure_; }
 
  private:
+  /// What is essential is sent whatever is left of the budget, which then makes up for it.
+  enum class urgency : std::uint8_t { ordinary, essential };
   void send(const std::string& method, const std::string& target, std::string body,
-            duration deadline, double writes, result_fn done);
+            duration deadline, double writes, result_fn done, urgency how = urgency::ordinary);
   bool spare_requests();
   void list_page(const std::string& prefix, const std::string& after, std::size_t most,
                  result_fn done);
@@ -106,7 +108,9 @@
   service_limits limits_;
   std::optional<service_limits> announced_;
   limit_shares shares_;
-  time_point lowered_until_{};  // the announced rates are in use until then
+  time_point lowered_until_{};                // the announced rates are in use until then
+  std::optional<time_point> lowered_before_;  // when they were in use last
+  duration lowered_for_{};
   rate_budget requests_;
   rate_budget writes_;
   rate_budget for_users_;
--- a/src/store/job_book.cpp
+++ b/src/store/job_book.cpp
@@ -448,6 +448,7 @@
     if (!*alive) return;
     remove(id, end);
   }
+  if (*alive) events_.committed();
 }
 
 void job_book::remove(const std::string& id, const stored_end& end) {
--- a/src/store/job_book.hpp
+++ b/src/store/job_book.hpp
@@ -26,6 +26,7 @@
   struct hooks {
     std::function<void(const std::string& id)> stored;  // some of this job's changes are stored
     std::function<void(const std::string& id, const stored_end& end)> gone;  // its final record is
+    std::function<void()> committed;  // a transaction's changes were all told of
     std::function<void()> deposed;    // the leader key is another's
     std::function<bool()> may_write;  // the leader's lease is valid
   };
--- a/src/store/rate_budget.hpp
+++ b/src/store/rate_budget.hpp
@@ -16,6 +16,11 @@
     tokens_ -= amount;
     return true;
   }
+  /// Takes it even where there is less: what follows waits longer.
+  void spend(time_point now, double amount) {
+    refill(now);
+    tokens_ -= amount;
+  }
   double available(time_point now) {
     refill(now);
     return tokens_;
--- a/src/store/start_log.cpp
+++ b/src/store/start_log.cpp
@@ -9,7 +9,11 @@
 
 namespace {
 constexpr std::size_t entry_overhead = 48;  // numbers, quotes and commas
+/// Keys that are written. The version in production reads no more, and attempts in a key that a
+/// successor passes over would be started twice: starts wait where all of them are full.
 constexpr std::size_t most_slots = 1000;
+/// Keys that are read, so that a later version may write more.
+constexpr std::size_t most_read_slots = 100000;
 
 std::size_t size_of(const start_entry& one) {
   return one.job.size() + one.machine.size() + entry_overhead;
@@ -26,7 +30,7 @@
 }
 
 /// The open slot for as long as it has room, then the one with the most.
-std::size_t start_log::choose(const absorbed_fn& absorbed) {
+std::optional<std::size_t> start_log::choose(const absorbed_fn& absorbed) {
   const std::size_t wanted = size_of(fresh_.front());
   std::size_t best = slots_.size();
   std::size_t least = value_bytes_;
@@ -39,18 +43,20 @@
       least = taken;
     }
   }
-  if (best == slots_.size() || least + wanted > value_bytes_) {
-    slots_.emplace_back();
-    return slots_.size() - 1;
-  }
-  return best;
+  const bool has_room = best != slots_.size() && least + wanted <= value_bytes_;
+  if (has_room) return best;
+  if (slots_.size() >= most_slots) return std::nullopt;
+  slots_.emplace_back();
+  return slots_.size() - 1;
 }
 
 void start_log::prepare(const absorbed_fn& absorbed, std::vector<condition>& conditions,
                         std::vector<operation>& operations) {
   std::erase_if(fresh_, absorbed);
   if (fresh_.empty()) return;
-  open_ = choose(absorbed);
+  const auto chosen = choose(absorbed);
+  if (!chosen) return;
+  open_ = *chosen;
   slot& mine = slots_[open_];
   std::size_t taken = size(mine.entries);
   std::size_t count = 0;
@@ -94,7 +100,7 @@
   std::size_t index = 0;
   const char* last = number.data() + number.size();
   const auto parsed = std::from_chars(number.data(), last, index);
-  if (parsed.ec != std::errc() || parsed.ptr != last || index >= most_slots)
+  if (parsed.ec != std::errc() || parsed.ptr != last || index >= most_read_slots)
     throw std::invalid_argument("log key");
   std::vector<start_entry> out;
   for (const auto& item : found.value.at("starts")) {
--- a/src/store/start_log.hpp
+++ b/src/store/start_log.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,7 +57,8 @@
     std::vector<start_entry> entries;
   };
   std::size_t size(const std::vector<start_entry>& entries) const;
-  std::size_t choose(const absorbed_fn& absorbed);
+  /// Nothing while every key is full.
+  std::optional<std::size_t> choose(const absorbed_fn& absorbed);
 
   std::size_t value_bytes_;
   std::vector<slot> slots_;
--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace gingerdrift::workers {
 
 using store::attempt;
@@ -15,7 +17,6 @@
 constexpr double drift = 0.001;
 constexpr auto lease_margin = milliseconds(500);
 constexpr auto probe_pause = seconds(2);
-constexpr std::size_t most_probes = 20;
 constexpr std::uint32_t broken_machines = 3;
 /// A job that fails everywhere is still tried once a minute: its machines may have been at fault.
 constexpr duration longest_backoff = seconds(60);
@@ -69,31 +70,44 @@
   if (one.deaf_since) return;
   spdlog::info("answers may not reach machine={} sign=\"{}\"", one.name, sign);
   one.deaf_since = runtime_.now();
+  one.unanswered_probes = 0;
   events_.changed();
 }
 
 void registry::probe() {
-  std::size_t asked = 0;
   const time_point now = runtime_.now();
+  std::vector<worker*> due;
   for (auto& [name, one] : workers_) {
-    if (!one.deaf_since || !one.reported || now < one.next_probe || asked >= most_probes) continue;
-    ++asked;
-    one.next_probe = now + probe_pause;
-    runtime_.call(
-        one.address, {"GET", "/show", ""}, direct_deadline,
-        [this, key = name, session = one.session, alive = alive_](const net::response& reply) {
-          if (!*alive || reply.status != 200) return;
-          // Only that it answers counts: its list may be older than a report that has
-          // arrived since.
-          worker* at = find(key);
-          if (at == nullptr || !at->deaf_since || at->session != session) return;
-          spdlog::info("machine hears us again machine={}", key);
-          at->deaf_since.reset();
-          events_.changed();
-        });
+    if (one.deaf_since && one.reported && now >= one.next_probe) due.push_back(&one);
+  }
+  // The longest unasked first: a zone of a thousand machines that is back takes several rounds.
+  std::stable_sort(due.begin(), due.end(),
+                   [](const worker* a, const worker* b) { return a->next_probe < b->next_probe; });
+  if (due.size() > options_.probes) due.resize(options_.probes);
+  for (auto* one : due) {
+    one->next_probe = now + probe_pause;
+    ask(*one);
   }
 }
 
+void registry::ask(const worker& one) {
+  runtime_.call(
+      one.address, {"GET", "/show", ""}, direct_deadline,
+      [this, key = one.name, session = one.session, alive = alive_](const net::response& reply) {
+        if (!*alive) return;
+        // Only that it answers counts: its list may be older than a report that has arrived since.
+        worker* at = find(key);
+        if (at == nullptr || !at->deaf_since || at->session != session) return;
+        if (reply.status != 200) {
+          ++at->unanswered_probes;
+          return;
+        }
+        spdlog::info("machine hears us again machine={}", key);
+        at->deaf_since.reset();
+        events_.changed();
+      });
+}
+
 void registry::forgive_errors() {
   for (auto& [id, one] : book_.all()) {
     if (one.errors.empty() || runtime_.now() - one.last_error < error_memory) continue;
--- a/src/workers/registry.hpp
+++ b/src/workers/registry.hpp
@@ -16,6 +16,7 @@
   duration keeper_grace = seconds(10);  // how long a deposed leader may keep workers
   std::uint32_t sick_jobs = 2;
   duration broken_backoff = seconds(10);
+  std::size_t probes = 20;  // questions to machines that may not hear us, a second
 };
 
 /// A machine as its worker's reports show it.
@@ -42,6 +43,7 @@
   bool just_rented = false;              // rented in this term, and has heard nobody yet
   std::optional<time_point> deaf_since;  // answers may not reach it
   time_point next_probe{};
+  std::uint32_t unanswered_probes = 0;
   time_point idle_since{};
   /// What a scheduling pass sees of it; empty once anything it shows has changed.
   std::shared_ptr<const admission::machine_view> view;
@@ -105,6 +107,7 @@
   void mark_sick(worker& at);
   void note_image(worker& at, const store::job& one);
   void suspect(worker& one, const char* sign);
+  void ask(const worker& one);
   void send_stops(const std::map<std::string, std::vector<command>>& by_machine);
 
   net::runtime& runtime_;
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -230,7 +230,7 @@
                                [this](const std::string& id, const store::stored_end& end) {
                                  gone[id] = store::status_name(end.status());
                                },
-                               [] {}, [this] { return holds_lease; }});
+                               [] {}, [] {}, [this] { return holds_lease; }});
   }
   /// Accepted, and known to the book.
   store::job& accepted(const std::string& id) {
--- a/tests/dependency_tracker_test.cpp
+++ b/tests/dependency_tracker_test.cpp
@@ -16,7 +16,7 @@
               [this](const std::string& id, const store::stored_end& end) {
                 tracker.job_gone(id, end);
               },
-              [] {}, [] { return true; }}),
+              [] {}, [] {}, [] { return true; }}),
         tracker(runtime, client, book, *this) {
     state.limit(limits);
     tracker.start();
@@ -305,7 +305,7 @@
                             [&](const std::string& id, const store::stored_end& last) {
                               owner.tracker->job_gone(id, last);
                             },
-                            [] {}, [] { return true; }});
+                            [] {}, [] {}, [] { return true; }});
   dependencies::tracker its_tracker(other, its_client, its_book, owner);
   owner.book = &its_book;
   owner.tracker = &its_tracker;
--- a/tests/random_days_test.cpp
+++ b/tests/random_days_test.cpp
@@ -42,4 +42,18 @@
   }
 }
 
+/// Half of these days begin with each former version.
+TEST(random_days, break_no_rule_during_upgrades) {
+  const day_range days = days_to_play();
+  for (std::uint64_t seed = days.first; seed < days.first + days.count; ++seed) {
+    const std::string trace = random_upgrade_day(seed);
+    const std::size_t nodes = seed / 2 % 2 == 0 ? 5 : 3;
+    const auto& former =
+        seed % 2 == 0 ? former_version::production() : former_version::before_dependencies();
+    EXPECT_EQ(play_meeting(trace, nodes, seed, &former), "")
+        << nodes << " controllers, day " << seed << " from " << former.name() << ":\n"
+        << trace;
+  }
+}
+
 }  // namespace gingerdrift::testing
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -23,7 +23,7 @@
         client(runtime, "state:1", limits, std::nullopt, {1, 1, 0.5}),
         book(runtime, client, {"gd/leader", 0}, limits,
              {[](const std::string&) {}, [](const std::string&, const store::stored_end&) {}, [] {},
-              [this] { return valid; }}),
+              [] {}, [this] { return valid; }}),
         registry(runtime, book, {seconds(1), seconds(6), seconds(5), 2, seconds(10)}, our_token,
                  {[this] { return valid; }, [] {}, [](const std::string&) { return 50.0; },
                   [this](const std::string&) { return rented_in_term; }}) {
@@ -202,6 +202,41 @@
   EXPECT_FALSE(registry.takes_tasks(*registry.find("m")));
 }
 
+// A zone of a thousand machines is back after a cut. With twenty questions a second, the first ones
+// asked again and again, the last would have been returned before their turn came.
+TEST_F(proofs, machines_in_doubt_are_asked_in_turn) {
+  constexpr int machines = 1300;
+  constexpr std::size_t probes = 90;
+  workers::registry many(runtime, book,
+                         {seconds(1), seconds(6), seconds(5), 2, seconds(10), probes}, our_token,
+                         {[this] { return valid; }, [] {}, [](const std::string&) { return 50.0; },
+                          [](const std::string&) { return false; }});
+  many.ready();
+  for (int i = 0; i < machines; ++i) {
+    auto with = report(3, 5, our_token);
+    with.machine = "n-" + std::to_string(100000 + i);
+    with.address = with.machine + ":9";
+    many.handle(with);
+    with.session = 4;
+    with.seq = 1;
+    many.handle(with);
+    const bool deaf = i % 10 == 0;
+    if (deaf) continue;
+    net.serve(with.machine, with.address, [](const net::request&, const net::reply_fn& reply) {
+      reply({200, "{}", std::nullopt, false});
+    });
+  }
+  for (int second = 0; second < 20; ++second) {
+    many.probe();
+    net.run_for(seconds(1));
+  }
+  for (const auto& [name, one] : many.all()) {
+    const bool deaf = name.back() == '0';
+    EXPECT_EQ(one.deaf_since.has_value(), deaf) << name;
+    EXPECT_EQ(one.unanswered_probes > 0, deaf) << name;
+  }
+}
+
 TEST_F(proofs, waiting_in_vain_counts_only_under_our_token) {
   // The member may have been started again under its number since.
   auto with = report(3, 5, our_token - 1);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,4 +1,5 @@
 #include "daemon/settings.hpp"
+#include "daemon/socket_plan.hpp"
 
 #include <gtest/gtest.h>
 
@@ -138,4 +139,16 @@
   EXPECT_NE(complaint_about_operators("<gingerdrift>").find("XML"), std::string::npos);
 }
 
+// Whatever the limit, all parts together stay below it, and none is without sockets.
+TEST(settings, sockets_are_divided_within_their_limit) {
+  for (const std::size_t limit : {32U, 100U, 1000U, 1500U, 2500U, 3735U, 11000U, 1000000U}) {
+    const auto plan = daemon::socket_plan::of(limit);
+    EXPECT_LT(plan.total(), limit) << limit;
+    EXPECT_GE(plan.calls, 4U) << limit;
+    EXPECT_GE(plan.mesh, 1U) << limit;
+    EXPECT_GE(plan.front, limit / 2) << limit;
+    EXPECT_GE(plan.front_backlog, 1U) << limit;
+  }
+}
+
 }  // namespace gingerdrift::testing
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -1,6 +1,7 @@
 // The leader's records and the users' submissions share one write budget.
 #include <gtest/gtest.h>
 
+#include "former_version.hpp"
 #include "store/job_book.hpp"
 #include "support/state_service.hpp"
 
@@ -17,7 +18,7 @@
   store::job_book book(
       runtime, client, {"gd/leader", 0}, limits,
       {[&](const std::string&) { ++stored; }, [](const std::string&, const store::stored_end&) {},
-       [] {}, [] { return true; }});
+       [] {}, [] {}, [] { return true; }});
   for (int i = 0; i < 100; ++i) {
     store::job one;
     one.spec.id = "run-" + std::to_string(i);
@@ -71,7 +72,7 @@
         store::job_book::hooks{
             [](const std::string&) {},
             [this](const std::string& id, const store::stored_end&) { gone.push_back(id); }, [] {},
-            [] { return true; }});
+            [] {}, [] { return true; }});
   }
   /// As an earlier version may have written it: more attempts than a small value holds.
   store::job& large_record(const std::string& id) {
@@ -151,7 +152,7 @@
       runtime, scarce, {"gd/leader", 0}, few,
       {[](const std::string&) {},
        [this](const std::string& id, const store::stored_end&) { gone.push_back(id); }, [] {},
-       [] { return true; }});
+       [] {}, [] { return true; }});
   for (int i = 0; i < 60; ++i) {
     store::job one;
     one.spec.id = "run-" + std::to_string(100 + i);
@@ -220,4 +221,72 @@
   EXPECT_GT(stored, 250U);
 }
 
+// A successor with the version in production reads no further: attempts there would start twice.
+TEST(start_log, writes_no_more_keys_than_former_versions_read) {
+  constexpr std::size_t room_for_one = 100;
+  store::start_log log(room_for_one);
+  const auto none = [](const store::start_entry&) { return false; };
+  std::set<std::string> keys;
+  for (std::uint32_t task = 0; task < 1100; ++task) {
+    log.add({"run-7", task, 1, "n-000231", 1, 0, task + 1});
+    std::vector<store::condition> conditions;
+    std::vector<store::operation> operations;
+    log.prepare(none, conditions, operations);
+    for (const auto& one : operations) keys.insert(one.key);
+    log.written(task + 1);
+  }
+  EXPECT_EQ(keys.size(), 1000U);
+  EXPECT_TRUE(log.waiting()) << "the rest waits until records have caught up";
+  for (const auto& key : keys) {
+    for (const auto* former : former_version::all_releases())
+      EXPECT_NO_THROW(former->read_log_jobs(key, R"({"starts":[]})")) << key;
+  }
+  std::vector<store::condition> conditions;
+  std::vector<store::operation> operations;
+  log.prepare([](const store::start_entry& start) { return start.task < 10; }, conditions,
+              operations);
+  EXPECT_EQ(operations.size(), 1U);
+}
+
+// Each try of the former rates costs others refusals once the announced ones are in force.
+TEST(store, announced_rates_stay_longer_each_time_that_the_former_are_refused) {
+  sim_net net{1};
+  state_service state(net, "state:1");
+  sim_runtime runtime(net, "node-0");
+  const store::service_limits now{100, 40, 8, 24};
+  const store::service_limits announced{100, 10, 8, 24};
+  store::client client(runtime, "state:1", now, announced, {1, 1, 0.5});
+  state.limit(announced);
+  for (int i = 0; i < 900 * 20; ++i) {
+    net.after(milliseconds(50) * i, [&client, i] {
+      client.txn({}, {{"gd/x/" + std::to_string(i % 7), {{"n", i}}, 0, false}},
+                 [](const store::result&) {});
+    });
+  }
+  net.run_for(seconds(400));
+  const std::size_t at_first = state.refused_for_rate();
+  net.run_for(seconds(500));
+  EXPECT_GT(at_first, 0U);
+  EXPECT_LT(state.refused_for_rate() - at_first, at_first) << "in more time";
+}
+
+// A herd of workers and users uses up what the node may ask; its lease must not end for that.
+TEST(store, a_renewal_goes_out_though_the_budget_is_used_up) {
+  sim_net net{1};
+  state_service state(net, "state:1");
+  sim_runtime runtime(net, "node-0");
+  store::client client(runtime, "state:1", {50, 20, 8, 24}, std::nullopt, {1, 1, 0.5});
+  std::uint64_t lease = 0;
+  client.grant(seconds(4), [&](const store::result& answer) { lease = answer.lease; });
+  net.run_for(milliseconds(50));
+  int refused = 0;
+  for (int i = 0; i < 100; ++i)
+    client.get("gd/leader", [&](const store::result& answer) { refused += answer.status == 429; });
+  int renewed = 0;
+  client.renew(lease, seconds(1), [&](const store::result& answer) { renewed += answer.ok(); });
+  net.run_for(seconds(1));
+  EXPECT_GT(refused, 0);
+  EXPECT_EQ(renewed, 1);
+}
+
 }  // namespace gingerdrift::testing
--- a/tests/support/random_day.cpp
+++ b/tests/support/random_day.cpp
@@ -25,6 +25,25 @@
     return out_.str();
   }
 
+  std::string write_upgrade() {
+    if (chance(0.6)) out_ << "announced value_kb=2 txn_ops=8 write_rps=30\n";
+    write_site();
+    write_jobs();
+    out_ << "at 1 close_looks for=400\n";
+    out_ << "at " << real(8, 40) << " upgrade every=" << real(0.5, 10) << " away=" << real(0.1, 5)
+         << " together=" << whole(1, 2)
+         << " order=" << one_of(std::array{"number", "backwards", "leader_first", "leader_last"})
+         << "\n";
+    out_ << "pipelines count=" << whole(3, 8) << " from=" << real(8, 60) << " over=" << real(5, 40)
+         << " run=6\n";
+    for (int i = 0; i < 3; ++i) out_ << "at " << real(20, 95) << " withdraw " << stage() << "\n";
+    if (chance(0.5)) out_ << "at " << real(15, 90) << " limits value_kb=2 txn_ops=8 write_rps=30\n";
+    const int troubles = whole(3, 9);
+    for (int i = 0; i < troubles; ++i) write_trouble();
+    out_ << "calm 130\nover 440\n";
+    return out_.str();
+  }
+
  private:
   double real(double low, double high) {
     return std::uniform_real_distribution<double>(low, high)(random_);
@@ -39,6 +58,9 @@
     return one_of(std::array{"leader", "leader", "leader", "follower", "node-0", "node-2", "all"});
   }
 
+  /// Some job of one of the first pipelines.
+  std::string stage() { return "run-" + std::to_string(5000 + 10 * whole(0, 3) + whole(0, 4)); }
+
   /// A cancellation may have more time than a worker's lease, or less.
   void write_site() {
     const int lease = whole(5, 14);
@@ -116,5 +138,6 @@
 }  // namespace
 
 std::string random_day(std::uint64_t seed) { return day_writer(seed).write(); }
+std::string random_upgrade_day(std::uint64_t seed) { return day_writer(seed).write_upgrade(); }
 
 }  // namespace gingerdrift::testing
--- a/tests/support/rule_checks.cpp
+++ b/tests/support/rule_checks.cpp
@@ -130,8 +130,7 @@
   double sum = 0;
   for (const auto& [name, one] : machines) {
     for (const auto& [key, other] : one->tasks) {
-      const auto& spec = jobs.at(key.first);
-      if (other.on_machine() && spec.team == team) sum += spec.gpus;
+      if (other.on_machine() && other.spec->team == team) sum += other.spec->gpus;
     }
   }
   return sum;
--- a/tests/support/sim_machine.cpp
+++ b/tests/support/sim_machine.cpp
@@ -155,6 +155,7 @@
       fresh.ready =
           now() + from_seconds(fetch > 0 && !has_image(job) ? fetch * site_.net.uniform(0.5, 1.5)
                                                             : site_.net.uniform(0.2, 2.0));
+      fresh.spec = &site_.jobs.at(job);
       tasks[{job, number}] = fresh;
     } else if (found == tasks.end() || found->second.number != attempt) {
       continue;
--- a/tests/support/sim_site.hpp
+++ b/tests/support/sim_site.hpp
@@ -70,6 +70,7 @@
   bool hung() const { return now() < hung_until_; }
 
   struct task {
+    const sim_job* spec = nullptr;
     std::uint64_t number = 0;
     std::string state;  // wire names
     std::string cause;
