--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -12,8 +12,20 @@
 using store::job_status;
 
 namespace {
-constexpr int pass_spacing = 3;
+/// Passes are spaced by so many times what the last one took, and no longer than that. A fleet of
+/// several thousand machines needs the processor for its reports first: from `large_fleet` machines
+/// on, both grow with it.
+constexpr double pass_spacing = 3;
 constexpr duration longest_pause = seconds(1);
+constexpr double large_fleet = 2000;
+
+duration pause_between_passes(duration took, duration shortest, std::size_t machines) {
+  const double growth = std::max(1.0, static_cast<double>(machines) / large_fleet);
+  const duration longest = from_seconds(to_seconds(longest_pause) * growth);
+  const duration spaced = from_seconds(to_seconds(took) * pass_spacing * growth);
+  return std::clamp(spaced, shortest, std::max(shortest, longest));
+}
+
 /// Steady clocks drift apart by 0.05% at most; the rest is for answers under way.
 constexpr double drift = 0.001;
 constexpr duration cancel_margin = seconds(3);
@@ -154,7 +166,7 @@
   // A pass over a large fleet may take long on a small share of a core: reports and users wait
   // meanwhile, so that passes get a part of the time and no more.
   const duration pause =
-      std::clamp<duration>(pass_took_ * pass_spacing, rules_.pass_interval, longest_pause);
+      pause_between_passes(pass_took_, rules_.pass_interval, fleet_.all().size());
   const time_point next = std::max(now + milliseconds(10), last_pass_ + pause);
   pass_timer_ = runtime_.after(next - now, [this] {
     pass_timer_ = 0;
--- a/src/dependencies/graph.cpp
+++ b/src/dependencies/graph.cpp
@@ -30,9 +30,11 @@
     found->second.dependents.insert(job);
     nodes_.at(job).dependencies.insert(name);
   }
+  // What depends on this job may have been known before: its priority goes on through it.
+  const auto passed_on = std::max(level, nodes_.at(job).inherited);
   for (const auto& name : dependencies) {
     // A dependent can only raise it, and mostly doesn't.
-    if (level > nodes_.at(name).inherited) update_priority(name, out);
+    if (passed_on > nodes_.at(name).inherited) update_priority(name, out);
   }
   if (doomed) {
     settle_cancelled(job, out);
--- a/tests/dependencies_test.cpp
+++ b/tests/dependencies_test.cpp
@@ -1,6 +1,8 @@
 // Dependencies between jobs: the graph alone, and what users are told of wrong lists.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "dependencies/graph.hpp"
 #include "support/sim_service.hpp"
 
@@ -62,6 +64,32 @@
   EXPECT_EQ(jobs.inherited_priority("root"), priority::standard);
 }
 
+// A new leader reads the records in the order of their names, which is no order of theirs.
+TEST(dependency_graph, priorities_reach_every_ancestor_in_whatever_order_jobs_are_read) {
+  struct read_job {
+    const char* name;
+    priority level;
+    names dependencies;
+  };
+  std::vector<read_job> jobs = {{"first", priority::low, {"root"}},
+                                {"left", priority::low, {"first"}},
+                                {"right", priority::standard, {"first"}},
+                                {"urgent", priority::high, {"left", "right"}}};
+  const auto by_name = [](const read_job& a, const read_job& b) {
+    return std::string(a.name) < b.name;
+  };
+  std::sort(jobs.begin(), jobs.end(), by_name);
+  do {
+    graph read;
+    for (const auto& one : jobs) read.add(one.name, one.level, one.dependencies);
+    for (const auto* name : {"root", "first", "left", "right"})
+      EXPECT_EQ(read.inherited_priority(name), priority::high) << name;
+    read.remove("urgent");
+    EXPECT_EQ(read.inherited_priority("root"), priority::standard);
+    EXPECT_EQ(read.inherited_priority("left"), priority::low);
+  } while (std::next_permutation(jobs.begin(), jobs.end(), by_name));
+}
+
 TEST(dependency_graph, nothing_is_certain_while_an_ancestor_is_unknown) {
   graph jobs;
   jobs.add("middle", priority::low, {"root"});
@@ -183,6 +211,59 @@
   EXPECT_EQ(state_of("run-51"), "cancelled");
 }
 
+// A name whose record can't be read was accepted all the same: the job waits for it, and its users
+// are told to come back; never that there is no such job.
+TEST_F(submissions_with_dependencies,
+       names_of_jobs_whose_records_cannot_be_read_are_no_reason_to_refuse) {
+  const auto write = [this](const std::string& key, const json& value) {
+    service.net.call(
+        "users", "state:1",
+        {"POST", "/multi",
+         json({{"if", json::array()}, {"then", {{{"write", key}, {"data", value}}}}}).dump()},
+        seconds(1), [](const net::response&) {});
+    service.net.run_for(seconds(1));
+  };
+  write("gd/final/run-70", {{"status", "odd"}});
+  write("gd/job/run-71", {{"spec", "odd"}});
+  for (const auto* name : {"run-70", "run-71"}) {
+    const std::string id = "run-5" + std::string(name).substr(4);
+    expect_job(id);
+    EXPECT_EQ(submit(id, {name}), 201) << name;
+    EXPECT_EQ(submit(id, {name}, 1), 503) << "a repeat: nobody can tell its state";
+    EXPECT_EQ(state_of(id, 2), "503") << name;
+    EXPECT_EQ(submit(name, nullptr), 503) << "nor that of " << name;
+  }
+}
+
+// Whatever list a repeat brings: the job is the one that was accepted first.
+TEST_F(submissions_with_dependencies, a_repeat_with_another_list_changes_nothing) {
+  expect_job("run-50");
+  expect_job("run-51");
+  EXPECT_EQ(submit("run-50", {"run-1"}), 201);
+  EXPECT_EQ(submit("run-51", nullptr), 201);
+  EXPECT_EQ(submit("run-50", {"run-51"}, 1), 200);
+  EXPECT_EQ(submit("run-50", nullptr, 2), 200);
+  EXPECT_EQ(submit("run-50", {"run-999"}, 1), 200) << "nor is it refused for a name nobody knows";
+  service.net.run_for(seconds(20));
+  EXPECT_EQ(state_of("run-51"), "done");
+  EXPECT_EQ(state_of("run-50"), "pending") << "run-1 still runs";
+  EXPECT_EQ(submit("run-51", {"run-50"}, 1), 200) << "after its end";
+  EXPECT_EQ(state_of("run-51", 2), "done");
+}
+
+TEST_F(submissions_with_dependencies, a_job_that_ended_long_ago_holds_nobody_up) {
+  expect_job("run-50");
+  EXPECT_EQ(submit("run-50", nullptr), 201);
+  service.net.run_for(seconds(20));
+  ASSERT_EQ(state_of("run-50"), "done");
+  for (std::size_t node = 0; node < 3; ++node) service.crash_for(node, seconds(1));
+  service.net.run_for(seconds(15));
+  expect_job("run-51");
+  EXPECT_EQ(submit("run-51", {"run-50"}, 1), 201);
+  service.net.run_for(seconds(20));
+  EXPECT_EQ(state_of("run-51"), "done");
+}
+
 TEST_F(submissions_with_dependencies, a_waiting_job_can_be_cancelled_alone) {
   expect_job("run-50");
   expect_job("run-51");
--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -2,12 +2,28 @@
 #include <gtest/gtest.h>
 
 #include "daemon/term.hpp"
+#include "front/answers.hpp"
 #include "support/sim_service.hpp"
 
 namespace gingerdrift::testing {
 
 namespace {
 
+/// Decides nothing, and keeps what a pass would have seen.
+class idle_planner final : public daemon::planner {
+ public:
+  explicit idle_planner(net::runtime& runtime) : runtime_(runtime) {}
+  void plan(std::uint64_t, admission::snapshot world, daemon::decide_fn done) override {
+    last = std::move(world);
+    runtime_.after(milliseconds(2),
+                   [done = std::move(done)] { done(admission::decisions{}, milliseconds(2)); });
+  }
+  admission::snapshot last;
+
+ private:
+  net::runtime& runtime_;
+};
+
 class leaders_term : public ::testing::Test {
  protected:
   leaders_term() {
@@ -18,16 +34,35 @@
     platform.state_limits = wide;
     // Its cache of ends forgets each at once.
     term = std::make_unique<daemon::term>(
-        runtime, client, platform, rules, 1, store::condition{"gd/leader", 0},
-        std::vector<admission::machine_type>{}, plans, measured,
+        runtime, client, platform, rules, 1, store::condition{"gd/leader", 0}, types(), plans,
+        measured,
         daemon::term::hooks{
             [] {}, [] { return true; }, [](const std::string&, const store::stored_end&) {},
             [](const std::string&) -> std::optional<store::stored_end> { return std::nullopt; }});
     term->start();
     net.run_for(seconds(1));
   }
-  void accept(const std::string& id, std::vector<std::string> dependencies = {}) {
+  static std::vector<admission::machine_type> types() {
+    admission::machine_type one;
+    one.name = "g8";
+    one.size = {64, 8, 256};
+    one.zones = {"a"};
+    return {one};
+  }
+  void write(const std::string& key, const store::json& value) {
+    client.txn({}, {{key, value, 0, false}}, [](const store::result&) {});
+    net.run_for(milliseconds(20));
+  }
+  /// The jobs that the last pass saw.
+  std::set<std::string> raced() const {
+    std::set<std::string> out;
+    for (const auto& one : plans.last.jobs) out.insert(one->id);
+    return out;
+  }
+  void accept(const std::string& id, std::vector<std::string> dependencies = {},
+              admission::priority level = admission::priority::low) {
     store::job one;
+    one.spec.level = level;
     one.spec.id = id;
     one.spec.team = "red";
     one.units.resize(1);
@@ -45,7 +80,7 @@
   store::client client{runtime, "state:1", wide, std::nullopt, {1, 1, 1}};
   daemon::platform_settings platform;
   daemon::operator_settings rules;
-  inline_planner plans{runtime, admission::policy{}};
+  idle_planner plans{runtime};
   daemon::metrics measured;
   std::unique_ptr<daemon::term> term;
 };
@@ -85,4 +120,39 @@
   EXPECT_TRUE(term->state_of("run-1").has_value()) << "the watch finds it";
 }
 
+// What waits for other jobs holds nothing: a pass that doesn't see it gives it neither quota nor
+// room, and neither rents for it nor counts it among those that wait for a pool.
+TEST_F(leaders_term, keeps_waiting_jobs_out_of_the_race_and_raises_what_they_need) {
+  accept("run-1");
+  accept("run-2", {"run-1"});
+  accept("run-3", {"run-2"}, admission::priority::high);
+  for (const auto* id : {"run-1", "run-2", "run-3"}) term->look_up(id);
+  net.run_for(seconds(1));
+  EXPECT_EQ(raced(), std::set<std::string>({"run-1"}));
+  EXPECT_EQ(plans.last.jobs.front()->level, admission::priority::high) << "through both";
+  const auto state_of_waiting = *term->state_of("run-2");
+  EXPECT_EQ(front::state_name(state_of_waiting), std::string("pending"));
+  term->cancel("run-3", [](const std::optional<store::stored_end>&) {});
+  net.run_for(seconds(1));
+  EXPECT_EQ(plans.last.jobs.front()->level, admission::priority::low) << "nobody urgent is left";
+}
+
+// Its age counts from when its last dependency was done, its deadline from its submission.
+TEST_F(leaders_term, counts_the_age_of_a_job_from_when_it_became_ready) {
+  write("gd/final/run-1", {{"status", "done"}, {"done", 1}});
+  net.run_for(seconds(30));
+  const auto before =
+      std::chrono::duration_cast<milliseconds>(runtime.wall_now().time_since_epoch());
+  accept("run-2", {"run-1"});
+  term->look_up("run-2");
+  net.run_for(seconds(1));
+  ASSERT_EQ(raced(), std::set<std::string>({"run-2"}));
+  EXPECT_GE(plans.last.jobs.front()->created_ms, before.count());
+  net.run_for(seconds(5));
+  const store::json* head = state.peek("gd/job/run-2");
+  ASSERT_NE(head, nullptr);
+  EXPECT_EQ(head->at("created"), 0) << "the time of its submission is kept";
+  EXPECT_EQ(head->at("ready"), plans.last.jobs.front()->created_ms) << "for successors";
+}
+
 }  // namespace gingerdrift::testing
