--- a/src/workers/registry.cpp
+++ b/src/workers/registry.cpp
@@ -2,8 +2,6 @@
 
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
-
 namespace gingerdrift::workers {
 
 using store::attempt;
@@ -13,16 +11,6 @@
 
 namespace {
 constexpr auto direct_deadline = seconds(2);
-/// Clocks drift apart by 0.05% at most.
-constexpr double drift = 0.001;
-constexpr auto lease_margin = milliseconds(500);
-constexpr auto probe_pause = seconds(2);
-constexpr std::uint32_t broken_machines = 3;
-/// A job that fails everywhere is still tried once a minute: its machines may have been at fault.
-constexpr duration longest_backoff = seconds(60);
-/// For how long a job passes by a machine on which it failed.
-constexpr duration error_memory = seconds(45);
-constexpr std::uint32_t most_backoff_doublings = 5;
 /// How often each member of a gang may wait in vain before the gang tries its luck elsewhere.
 constexpr std::uint32_t most_waits = 4;
 }  // namespace
@@ -64,58 +52,6 @@
          !one.deaf_since && (one.token == token_ || one.just_rented);
 }
 
-/// Reports arrive, but there is a sign that answers don't: nothing is placed there until the
-/// machine has answered a question. Arriving reports alone prove nothing about the way back.
-void registry::suspect(worker& one, const char* sign) {
-  if (one.deaf_since) return;
-  spdlog::info("answers may not reach machine={} sign=\"{}\"", one.name, sign);
-  one.deaf_since = runtime_.now();
-  one.unanswered_probes = 0;
-  events_.changed();
-}
-
-void registry::probe() {
-  const time_point now = runtime_.now();
-  std::vector<worker*> due;
-  for (auto& [name, one] : workers_) {
-    if (one.deaf_since && one.reported && now >= one.next_probe) due.push_back(&one);
-  }
-  // The longest unasked first: a zone of a thousand machines that is back takes several rounds.
-  std::stable_sort(due.begin(), due.end(),
-                   [](const worker* a, const worker* b) { return a->next_probe < b->next_probe; });
-  if (due.size() > options_.probes) due.resize(options_.probes);
-  for (auto* one : due) {
-    one->next_probe = now + probe_pause;
-    ask(*one);
-  }
-}
-
-void registry::ask(const worker& one) {
-  runtime_.call(
-      one.address, {"GET", "/show", ""}, direct_deadline,
-      [this, key = one.name, session = one.session, alive = alive_](const net::response& reply) {
-        if (!*alive) return;
-        // Only that it answers counts: its list may be older than a report that has arrived since.
-        worker* at = find(key);
-        if (at == nullptr || !at->deaf_since || at->session != session) return;
-        if (reply.status != 200) {
-          ++at->unanswered_probes;
-          return;
-        }
-        spdlog::info("machine hears us again machine={}", key);
-        at->deaf_since.reset();
-        events_.changed();
-      });
-}
-
-void registry::forgive_errors() {
-  for (auto& [id, one] : book_.all()) {
-    if (one.errors.empty() || runtime_.now() - one.last_error < error_memory) continue;
-    one.errors.clear();
-    one.view.reset();
-  }
-}
-
 std::string registry::handle(const report& said) {
   auto& from = workers_[said.machine];
   const time_point now = runtime_.now();
@@ -329,121 +265,6 @@
   after_loss(one, again);
 }
 
-void registry::drop_attempt(worker& at, const job& one, std::uint32_t task) {
-  at.attempts.erase({one.spec.id, task});
-  at.view.reset();
-  if (at.attempts.empty()) at.idle_since = runtime_.now();
-}
-
-void registry::finish_task(job& one, std::uint32_t task) {
-  const auto it = one.attempts.find(task);
-  if (it != one.attempts.end()) {
-    drop_attempt(workers_[it->second.machine], one, task);
-    one.attempts.erase(it);
-  }
-  one.done.insert(task);
-  if (one.spec.gang) {
-    // A gang completes together.
-    for (std::uint32_t mate = 0; mate < one.spec.tasks; ++mate) one.done.insert(mate);
-  }
-  one.errors.clear();
-  one.error_rounds = 0;
-  book_.mark(one, task, false);
-  if (one.status == job_status::active && one.done.count() == one.spec.tasks) {
-    one.status = job_status::done;
-    book_.mark_head(one);
-  }
-  if (one.status != job_status::active && one.attempts.empty()) book_.retire(one);
-  events_.changed();
-}
-
-/// A task is proven gone. Until here it held its place, its quota and its zone.
-void registry::lose(job& one, std::uint32_t task, const char* proof) {
-  const auto it = one.attempts.find(task);
-  if (it == one.attempts.end()) return;
-  spdlog::info("gone job={} task={} try={} machine={} proof=\"{}\" term={}", one.spec.id, task,
-               it->second.number, it->second.machine, proof, token_);
-  drop_attempt(workers_[it->second.machine], one, task);
-  one.attempts.erase(it);
-  book_.mark(one, task, false);
-  after_loss(one, true);
-}
-
-void registry::after_loss(job& one, bool replaceable) {
-  events_.changed();
-  if (one.attempts.empty()) {
-    one.view.reset();
-    one.gang_started = false;
-    one.gang_try = 0;
-    one.waits = 0;
-    if (one.status != job_status::active) book_.retire(one);
-    return;
-  }
-  if (!one.spec.gang || one.status != job_status::active) return;
-  // A gang that has not started takes a replacement with the same attempt number. One that has
-  // started, or whose member ended by itself, goes on from its checkpoint as a new attempt.
-  bool leaving = false;
-  for (const auto& [task, entry] : one.attempts) leaving = leaving || entry.stopping;
-  if (leaving || (replaceable && !one.gang_started)) return;
-  stop_all(one, duration::zero());
-}
-
-/// Tells a sick machine from a broken job: one machine that fails several jobs is sick; one job
-/// that fails on several machines is broken and waits longer each time.
-void registry::note_error(worker& at, job& one) {
-  ++one.errors[at.name];
-  one.last_error = runtime_.now();
-  one.view.reset();
-  if (one.errors.size() >= broken_machines) {
-    const auto doublings = std::min(one.error_rounds, most_backoff_doublings);
-    ++one.error_rounds;
-    one.not_before = runtime_.now() + std::min<duration>(options_.broken_backoff * (1 << doublings),
-                                                         longest_backoff);
-    one.errors.clear();
-    spdlog::info("job fails everywhere job={} round={}", one.spec.id, one.error_rounds);
-  } else {
-    one.not_before = std::max(one.not_before, runtime_.now() + milliseconds(500));
-  }
-  // Jobs that fail elsewhere too say nothing about a machine: two broken jobs that happened to meet
-  // on one would have it returned.
-  if (one.error_rounds > 0) return;
-  if (one.errors.size() > 1) {
-    for (const auto& [name, count] : one.errors) {
-      if (worker* other = find(name); other != nullptr) clear_of_suspicion(*other, one.spec.id);
-    }
-    return;
-  }
-  at.failed_jobs.insert(one.spec.id);
-  if (!at.sick_since && at.failed_jobs.size() >= options_.sick_jobs) mark_sick(at);
-}
-
-/// The job fails elsewhere too. Two broken jobs that met on one machine first had it returned
-/// before either had been tried on another.
-void registry::clear_of_suspicion(worker& one, const std::string& job) {
-  one.failed_jobs.erase(job);
-  if (!one.sick_since || one.failed_jobs.size() >= options_.sick_jobs) return;
-  spdlog::info("machine is well after all machine={}", one.name);
-  one.sick_since.reset();
-  one.view.reset();
-  events_.changed();
-}
-
-void registry::mark_sick(worker& at) {
-  at.sick_since = runtime_.now();
-  spdlog::info("machine is sick machine={} jobs={}", at.name, at.failed_jobs.size());
-  const auto held = at.attempts;
-  for (const auto& [id, task] : held) {
-    job* other = book_.find(id);
-    if (other == nullptr) continue;
-    const duration grace = other->spec.save + seconds(2);
-    if (other->spec.gang) {
-      stop_all(*other, grace);
-    } else {
-      stop(*other, {task}, grace);
-    }
-  }
-}
-
 void registry::note_image(worker& at, const job& one) {
   at.view.reset();
   std::erase_if(at.images, [&](const auto& item) { return item.first == one.spec.image; });
@@ -507,32 +328,4 @@
   }
 }
 
-void registry::machine_gone(const std::string& machine, const char* proof) {
-  worker* at = find(machine);
-  if (at == nullptr) return;
-  const auto held = at->attempts;
-  for (const auto& [id, task] : held) {
-    job* one = book_.find(id);
-    if (one != nullptr) lose(*one, task, proof);
-  }
-  workers_.erase(machine);
-  events_.changed();
-}
-
-void registry::check_leases(time_point quiet_from, time_point confirmed) {
-  const duration lease = from_seconds(to_seconds(options_.lease) * (1 + drift)) + lease_margin;
-  // A deposed leader may have answered a worker up to the end of its grace.
-  if (confirmed < term_start_ + options_.keeper_grace + lease) return;
-  // A deputy in a cut-off zone may have answered it until it said that it no longer does.
-  if (confirmed < quiet_from + lease) return;
-  for (auto& [name, at] : workers_) {
-    if (at.attempts.empty() || confirmed < at.last_answer + lease) continue;
-    const auto held = at.attempts;
-    for (const auto& [id, task] : held) {
-      job* one = book_.find(id);
-      if (one != nullptr) lose(*one, task, "lease over");
-    }
-  }
-}
-
 }  // namespace gingerdrift::workers
