--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -12,12 +12,9 @@
 /// falls free, and who submits a job there would be told to come back.
 constexpr double submission_share = 0.1;
 constexpr double most_for_submissions = 3;
-/// For how long after a refusal the announced rates are used. The former ones are tried again then:
-/// a refusal may also come from a moment's burst of all controllers together. Each time that they
-/// are refused again soon, the announced rates stay for twice as long: they have come into force,
-/// and every try costs submissions that are refused beside it.
-constexpr duration shortest_lowered = seconds(60);
-constexpr duration longest_lowered = std::chrono::hours(1);
+/// For how long after a refusal the announced rates are used. The former ones are tried again
+/// then: a refusal may also come from a moment's burst of all controllers together.
+constexpr duration lowered_for = seconds(60);
 
 entry read_entry(const json& item) {
   return {item.at("k").get<std::string>(), item.at("data"), item.at("stamp").get<std::uint64_t>()};
@@ -102,14 +99,8 @@
 void client::refused_for_rate(double writes) {
   const time_point now = runtime_.now();
   if (announced_) {
-    if (now >= lowered_until_) {
-      const bool again = lowered_before_ && now - *lowered_before_ < lowered_for_;
-      lowered_for_ = again ? std::min(lowered_for_ * 2, longest_lowered) : shortest_lowered;
-      spdlog::info("store: announced rates in use after a refusal for_s={:.0f}",
-                   to_seconds(lowered_for_));
-    }
-    lowered_until_ = now + lowered_for_;
-    lowered_before_ = lowered_until_;
+    if (now >= lowered_until_) spdlog::info("store: announced rates in use after a refusal");
+    lowered_until_ = now + lowered_for;
     apply_rates();
   }
   requests_.drain(now);
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -108,9 +108,7 @@
   service_limits limits_;
   std::optional<service_limits> announced_;
   limit_shares shares_;
-  time_point lowered_until_{};                // the announced rates are in use until then
-  std::optional<time_point> lowered_before_;  // when they were in use last
-  duration lowered_for_{};
+  time_point lowered_until_{};  // the announced rates are in use until then
   rate_budget requests_;
   rate_budget writes_;
   rate_budget for_users_;
