--- a/src/daemon/term_machines.cpp
+++ b/src/daemon/term_machines.cpp
@@ -153,6 +153,9 @@
       fleet_.release(name, "answers don't reach it");
       continue;
     }
+    // Nothing is placed there until it has been asked, which takes its turn after a cut of a large
+    // zone: idle is no word for that. A third of such a zone was once returned while it waited.
+    if (at.deaf_since) continue;
     if (!at.attempts.empty() || at.unknown_tasks_run) continue;
     // Behind a cut its tasks are over with their lease, but it is no more idle than it was.
     if (workers_.silent(at) && allowance(at.where.zone) > duration::zero()) continue;
--- a/src/workers/registry_health.cpp
+++ b/src/workers/registry_health.cpp
@@ -60,6 +60,7 @@
         }
         spdlog::info("machine hears us again machine={}", key);
         at->deaf_since.reset();
+        at->idle_since = runtime_.now();
         events_.changed();
       });
 }
