Count how queries are answered and why requests are not

Users' queries went unanswered at 4,000 machines and nothing kept said why: a 503 was only logged at debug level, and connections were not counted.

- api::answer_statistics counts the evidence behind each answered query, why a forwarded query was not answered with the leader's response, and each 503 by its typed reason.
A read that this controller's own request budget refused is told apart from an unreachable state service.
- net::server_statistics counts connections accepted, refused, closed for others and closed near the limit.
- leader_watchdog measures how late the event loop runs its timers.
- /status shows all of it; requests_not_answered logs the failures on every controller, at most every 10 s, with the leader and token known there.

--- a/src/api/http_api.cpp
+++ b/src/api/http_api.cpp
@@ -14,6 +14,16 @@
   reply_error(reply, 405, "method not allowed");
 }
 
+/// Returns why the leader's response to a forwarded query can't be passed on to the user, or
+/// nothing if it can. `age`: the time since the query was forwarded.
+std::optional<forwarding_failure> find_failure(const net::response& leader_reply, duration age) {
+  if (leader_reply.status == 0) return forwarding_failure::no_response;
+  const bool is_definite = leader_reply.status == 200 || leader_reply.status == 404;
+  if (!is_definite) return forwarding_failure::refused;
+  if (age > max_response_age) return forwarding_failure::outdated;
+  return std::nullopt;
+}
+
 void reply_not_found(const net::reply_fn& reply) { reply_error(reply, 404, "no such thing"); }
 }  // namespace
 
@@ -22,11 +32,12 @@
     : runtime_(runtime),
       services_(services),
       terminal_states_(options.terminal_cache_capacity),
-      state_reader_(runtime, store, terminal_states_, options.cancellation),
+      state_reader_(runtime, store, terminal_states_, statistics_, options.cancellation),
       submissions_({.runtime = runtime,
                     .store = store,
                     .services = services,
                     .terminal_states = terminal_states_,
+                    .statistics = statistics_,
                     .state_reader = state_reader_},
                    options.submissions, std::move(teams), options.node) {}
 
@@ -35,7 +46,7 @@
   if (path == health_path) {
     if (message.method != "GET") return reply_method_not_allowed(reply);
     if (!services_.healthy())
-      return retry_later(reply, retry_reason::state_service_unreachable_here);
+      return retry_later(statistics_, reply, retry_reason::state_service_unreachable_here);
     reply_json(reply, 200, R"({"status":"ok"})");
   } else if (path == status_path) {
     if (message.method != "GET") return reply_method_not_allowed(reply);
@@ -67,21 +78,27 @@
 
 void http_api::read_state(const job_request& request, const net::reply_fn& reply) {
   const job_id& id = request.id;
-  if (const auto state = terminal_states_.find(id)) return reply_state(id, *state, reply);
+  if (const auto state = terminal_states_.find(id)) {
+    statistics_.answers.add(answer_source::terminal_state_cache);
+    return reply_state(statistics_, id, *state, reply);
+  }
   if (services_.is_leader()) {
     const auto state = services_.state_of(id);
     // If the leader's memory has no definite state, the records in the state service do.
     if (!state || std::holds_alternative<job_store::indeterminate>(*state))
       return state_reader_.read(id, reply);
-    return reply_state(id, *state, reply);
+    statistics_.answers.add(answer_source::leader_memory);
+    return reply_state(statistics_, id, *state, reply);
   }
-  if (request.forwarded) return retry_later(reply, retry_reason::not_leader);
+  if (request.forwarded) return retry_later(statistics_, reply, retry_reason::not_leader);
   const auto handle_leader_reply = [this, id, sent = runtime_.now(),
                                     reply](const net::response& leader_reply) {
-    const bool is_definite = leader_reply.status == 200 || leader_reply.status == 404;
-    const bool is_outdated = runtime_.now() - sent > max_response_age;
-    if (is_definite && !is_outdated) return reply(leader_reply);
-    state_reader_.read(id, reply);
+    if (const auto failure = find_failure(leader_reply, runtime_.now() - sent)) {
+      statistics_.forwarding_failures.add(*failure);
+      return state_reader_.read(id, reply);
+    }
+    statistics_.answers.add(answer_source::leader_response);
+    reply(leader_reply);
   };
   services_.forward_to_leader(request.message, guard_.wrap(handle_leader_reply));
 }
@@ -91,17 +108,21 @@
   if (const auto state = terminal_states_.find(id)) return reply_state_name(id, *state, reply);
   if (services_.is_leader()) {
     if (!services_.state_of(id)) return cancel_job_not_in_memory(id, reply);
-    services_.cancel(id, [id, reply](std::optional<job_store::terminal_state> state) {
-      if (!state) return retry_later(reply, retry_reason::cancellation_not_confirmed);
-      reply_state_name(id, *state, reply);
-    });
+    services_.cancel(
+        id, guard_.wrap([this, id, reply](std::optional<job_store::terminal_state> state) {
+          if (!state)
+            return retry_later(statistics_, reply, retry_reason::cancellation_not_confirmed);
+          reply_state_name(id, *state, reply);
+        }));
     return;
   }
-  if (request.forwarded) return retry_later(reply, retry_reason::not_leader);
-  services_.forward_to_leader(request.message, [reply](const net::response& leader_reply) {
-    if (leader_reply.status == 0) return retry_later(reply, retry_reason::no_leader);
-    reply(leader_reply);
-  });
+  if (request.forwarded) return retry_later(statistics_, reply, retry_reason::not_leader);
+  services_.forward_to_leader(request.message,
+                              guard_.wrap([this, reply](const net::response& leader_reply) {
+                                if (leader_reply.status == 0)
+                                  return retry_later(statistics_, reply, retry_reason::no_leader);
+                                reply(leader_reply);
+                              }));
 }
 
 /// Handles the cancellation of a job that is not in the leader's memory: the job has ended, was
@@ -112,7 +133,7 @@
     if (const auto terminal = terminal_states_.find(id))
       return reply_state_name(id, *terminal, reply);
     services_.notify_leader_of_job(id);
-    retry_later(reply, retry_reason::just_submitted);
+    retry_later(statistics_, reply, retry_reason::just_submitted);
   }));
 }
 
--- a/src/api/http_api.hpp
+++ b/src/api/http_api.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "api/answer_statistics.hpp"
 #include "api/job_state_reader.hpp"
 #include "api/node_services.hpp"
 #include "api/submissions.hpp"
@@ -46,6 +47,9 @@
     return terminal_states_.find(id);
   }
 
+  /// Returns how queries were answered, and why requests were not answered.
+  const answer_statistics& statistics() const { return statistics_; }
+
  private:
   /// A request about a single job. Valid only during the call that handles it, because it refers
   /// to the message.
@@ -62,6 +66,7 @@
 
   net::runtime& runtime_;
   node_services& services_;
+  answer_statistics statistics_;
   terminal_state_cache terminal_states_;
   job_state_reader state_reader_;
   submissions submissions_;
--- a/src/api/job_state_reader.cpp
+++ b/src/api/job_state_reader.cpp
@@ -8,12 +8,21 @@
 
 namespace gingerdrift::api {
 
+namespace {
+retry_reason reason_of(const kvstore::result& failed_read) {
+  return failed_read.rate_limited() ? retry_reason::state_service_budget_used_up
+                                    : retry_reason::state_service_unreachable;
+}
+}  // namespace
+
 job_state_reader::job_state_reader(net::runtime& runtime, kvstore::client& store,
                                    terminal_state_cache& terminal_states,
+                                   answer_statistics& statistics,
                                    job_store::cancellation_acknowledgement cancellation)
     : runtime_(runtime),
       store_(store),
       terminal_states_(terminal_states),
+      statistics_(statistics),
       cancellation_(cancellation) {}
 
 void job_state_reader::read_key(const std::string& key, const net::reply_fn& reply,
@@ -22,9 +31,9 @@
                               on_absent =
                                   std::move(on_absent)](const kvstore::result& store_result) {
     if (store_result.has_entry()) return on_present(store_result);
-    if (!store_result.not_found())
-      return retry_later(reply, retry_reason::state_service_unreachable);
-    if (is_outdated(store_result)) return retry_later(reply, retry_reason::record_outdated);
+    if (!store_result.not_found()) return retry_later(statistics_, reply, reason_of(store_result));
+    if (is_outdated(store_result))
+      return retry_later(statistics_, reply, retry_reason::record_outdated);
     on_absent();
   };
   store_.get_for_user(key, guard_.wrap(handle_result));
@@ -69,16 +78,18 @@
 }
 
 void job_state_reader::reply_from_head(const job_id& id, const kvstore::result& read_result,
-                                       const net::reply_fn& reply) const {
-  if (is_outdated(read_result)) return retry_later(reply, retry_reason::record_outdated);
+                                       const net::reply_fn& reply) {
+  if (is_outdated(read_result))
+    return retry_later(statistics_, reply, retry_reason::record_outdated);
   const kvstore::entry& head = read_result.entries.front();
   try {
     const auto record = job_store::decode_head(head.value, head.version);
     if (record.spec().id != id) throw std::invalid_argument("it names another job");
-    reply_state(id, job_store::state_in_record(record, cancellation_), reply);
+    statistics_.answers.add(answer_source::stored_record);
+    reply_state(statistics_, id, job_store::state_in_record(record, cancellation_), reply);
   } catch (const std::exception& error) {
     spdlog::error("record_malformed kind=head key={} error=\"{}\"", head.key, error.what());
-    retry_later(reply, retry_reason::record_unreadable);
+    retry_later(statistics_, reply, retry_reason::record_unreadable);
   }
 }
 
@@ -87,7 +98,7 @@
   const auto state = job_store::try_decode_final(record.value);
   if (!state) {
     spdlog::error("record_malformed kind=final key={}", record.key);
-    return retry_later(reply, retry_reason::record_unreadable);
+    return retry_later(statistics_, reply, retry_reason::record_unreadable);
   }
   reply_unless_head_exists(id, *state, reply);
 }
@@ -100,13 +111,14 @@
                                                 const net::reply_fn& reply) {
   read_key(
       job_store::head_key(id), reply,
-      [reply](const kvstore::result& read_result) {
+      [this, reply](const kvstore::result& read_result) {
         spdlog::error("records_contradictory key={}", read_result.entries.front().key);
-        retry_later(reply, retry_reason::records_contradict);
+        retry_later(statistics_, reply, retry_reason::records_contradict);
       },
       [this, id, state, reply] {
         terminal_states_.insert(id, state);
-        reply_state(id, state, reply);
+        statistics_.answers.add(answer_source::stored_record);
+        reply_state(statistics_, id, state, reply);
       });
 }
 
--- a/src/api/job_state_reader.hpp
+++ b/src/api/job_state_reader.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 
+#include "api/answer_statistics.hpp"
 #include "api/terminal_state_cache.hpp"
 #include "base/callback_guard.hpp"
 #include "job_store/job_state.hpp"
@@ -15,9 +16,10 @@
 class job_state_reader {
  public:
   /// `cancellation`: when users are told that a job is cancelled. Terminal states that are read are
-  /// inserted into the cache `terminal_states`, which has to outlive the reader.
+  /// inserted into the cache `terminal_states`. `terminal_states` and `statistics` have to outlive
+  /// the reader.
   job_state_reader(net::runtime& runtime, kvstore::client& store,
-                   terminal_state_cache& terminal_states,
+                   terminal_state_cache& terminal_states, answer_statistics& statistics,
                    job_store::cancellation_acknowledgement cancellation);
   ~job_state_reader() = default;
   job_state_reader(const job_state_reader&) = delete;
@@ -41,12 +43,13 @@
                                 const net::reply_fn& reply);
   bool is_outdated(const kvstore::result& read_result) const;
   void reply_from_head(const job_id& id, const kvstore::result& read_result,
-                       const net::reply_fn& reply) const;
+                       const net::reply_fn& reply);
   void reply_from_final(const job_id& id, const kvstore::entry& record, const net::reply_fn& reply);
 
   net::runtime& runtime_;
   kvstore::client& store_;
   terminal_state_cache& terminal_states_;
+  answer_statistics& statistics_;
   job_store::cancellation_acknowledgement cancellation_;
   callback_guard guard_;
 };
--- a/src/api/submissions.cpp
+++ b/src/api/submissions.cpp
@@ -20,19 +20,6 @@
                         [&](const auto& type) { return type.name == name; });
   });
 }
-
-/// Answers a submission that is to be rejected and whose job has no head. If the job has a final
-/// record, it was accepted before and its state is returned; otherwise the submission is rejected.
-void reply_from_final(const job_id& id, rejection reason, const kvstore::result& final_record,
-                      const net::reply_fn& reply) {
-  if (final_record.has_entry()) {
-    const auto state = job_store::try_decode_final(final_record.entries.front().value);
-    if (!state) return retry_later(reply, retry_reason::record_unreadable);
-    return reply_state_name(id, *state, reply);
-  }
-  if (final_record.not_found()) return reply_error(reply, rejected_status, text_of(reason));
-  retry_later(reply, retry_reason::state_service_unreachable);
-}
 }  // namespace
 
 submissions::submissions(const collaborators& shared, const submission_options& options,
@@ -43,6 +30,7 @@
       teams_(std::move(teams)),
       services_(shared.services),
       terminal_states_(shared.terminal_states),
+      statistics_(shared.statistics),
       state_reader_(shared.state_reader),
       acceptance_(runtime_, store_, options.sizes.txn_operations),
       writer_(store_, options.sizes, std::move(node)) {}
@@ -56,7 +44,7 @@
   const job_id id = parsed.spec.id;
   if (const auto state = terminal_states_.find(id)) return reply_state_name(id, *state, reply);
   const auto& types = services_.machine_types();
-  if (types.empty()) return retry_later(reply, retry_reason::machine_types_unknown);
+  if (types.empty()) return retry_later(statistics_, reply, retry_reason::machine_types_unknown);
   const auto reason = find_rejection(parsed.spec, teams_, types);
   remove_unknown_types(parsed.spec, types);
   const auto submitted = std::make_shared<pending_submission>(
@@ -65,7 +53,7 @@
   if (reason) return reject_unless_accepted(submitted, *reason);
   // Few submissions may wait for the store at once; further ones get 503 immediately.
   if (waiting_for_store_ >= options_.max_waiting_for_store)
-    return retry_later(reply, retry_reason::too_many_submissions);
+    return retry_later(statistics_, reply, retry_reason::too_many_submissions);
   if (submitted->dependencies.empty()) return store(submitted);
   check_dependencies(submitted);
 }
@@ -89,7 +77,7 @@
     // A controller that can't reach the store can't know whether all versions support dependencies,
     // but its peers can.
     if (!services_.store_reachable()) return retry_on_peer_with_store(submission);
-    return retry_later(submission->reply, retry_reason::dependencies_unsupported);
+    return retry_later(statistics_, submission->reply, retry_reason::dependencies_unsupported);
   }
   ++waiting_for_store_;
   acceptance_.check(dependencies,
@@ -107,7 +95,7 @@
     case acceptance_check::verdict::not_accepted:
       return reject_unless_accepted(submission, rejection::unknown_dependency);
     case acceptance_check::verdict::undecided:
-      return retry_later(submission->reply, retry_reason::dependencies_undecided);
+      return retry_later(statistics_, submission->reply, retry_reason::dependencies_undecided);
     case acceptance_check::verdict::unreachable:
       return retry_on_peer_with_store(submission);
   }
@@ -130,7 +118,7 @@
     case submission_writer::outcome::already_accepted:
       return reply_with_current_state(submission);
     case submission_writer::outcome::over_budget:
-      return retry_later(submission->reply, retry_reason::state_service_unreachable);
+      return retry_later(statistics_, submission->reply, retry_reason::state_service_unreachable);
     case submission_writer::outcome::unreachable:
       return retry_on_peer_with_store(submission);
   }
@@ -149,15 +137,29 @@
 /// only one that can't.
 void submissions::retry_on_peer_with_store(const submission_ptr& submission) {
   if (submission->forwarded)
-    return retry_later(submission->reply, retry_reason::state_service_unreachable);
+    return retry_later(statistics_, submission->reply, retry_reason::state_service_unreachable);
   services_.forward_to_peer_with_store(
-      submission->message, [reply = submission->reply](const net::response& peer_reply) {
+      submission->message, [this, reply = submission->reply](const net::response& peer_reply) {
         if (peer_reply.status == 0)
-          return retry_later(reply, retry_reason::state_service_unreachable);
+          return retry_later(statistics_, reply, retry_reason::state_service_unreachable);
         reply(peer_reply);
       });
 }
 
+/// Answers a submission that is to be rejected and whose job has no head. If the job has a final
+/// record, it was accepted before and its state is returned; otherwise the submission is rejected.
+void submissions::reply_from_final(const job_id& id, rejection reason,
+                                   const kvstore::result& final_record,
+                                   const net::reply_fn& reply) {
+  if (final_record.has_entry()) {
+    const auto state = job_store::try_decode_final(final_record.entries.front().value);
+    if (!state) return retry_later(statistics_, reply, retry_reason::record_unreadable);
+    return reply_state_name(id, *state, reply);
+  }
+  if (final_record.not_found()) return reply_error(reply, rejected_status, text_of(reason));
+  retry_later(statistics_, reply, retry_reason::state_service_unreachable);
+}
+
 /// Rejects the submission unless its job was accepted before. An accepted job is never rejected
 /// later, even if machine types or limits have changed since.
 void submissions::reject_unless_accepted(const submission_ptr& submission, rejection reason) {
@@ -165,9 +167,9 @@
   const auto handle_head = [this, id, reason, submission](const kvstore::result& head) {
     if (head.ok()) return reply_with_current_state(submission);
     if (!head.not_found())
-      return retry_later(submission->reply, retry_reason::state_service_unreachable);
+      return retry_later(statistics_, submission->reply, retry_reason::state_service_unreachable);
     store_.get(job_store::final_key(id),
-               [id, reason, reply = submission->reply](const kvstore::result& final_record) {
+               [this, id, reason, reply = submission->reply](const kvstore::result& final_record) {
                  reply_from_final(id, reason, final_record, reply);
                });
   };
@@ -197,11 +199,11 @@
 
 void submissions::reply_with_stored_state(const submission_ptr& submission) {
   state_reader_.read(submission->job.spec().id,
-                     [reply = submission->reply](const net::response& state) {
+                     [this, reply = submission->reply](const net::response& state) {
                        // The job was accepted, so a record of it must exist; if none was found, the
                        // user has to retry.
                        if (state.status == 404)
-                         return retry_later(reply, retry_reason::record_not_found);
+                         return retry_later(statistics_, reply, retry_reason::record_not_found);
                        reply(state);
                      });
 }
--- a/src/api/submissions.hpp
+++ b/src/api/submissions.hpp
@@ -33,6 +33,7 @@
     kvstore::client& store;
     node_services& services;
     terminal_state_cache& terminal_states;
+    answer_statistics& statistics;
     job_state_reader& state_reader;
   };
 
@@ -66,6 +67,8 @@
   void handle_write_outcome(const submission_ptr& submission, submission_writer::outcome outcome);
   void acknowledge(const submission_ptr& submission);
   void retry_on_peer_with_store(const submission_ptr& submission);
+  void reply_from_final(const job_id& id, rejection reason, const kvstore::result& final_record,
+                        const net::reply_fn& reply);
   void reject_unless_accepted(const submission_ptr& submission, rejection reason);
   void reply_with_current_state(const submission_ptr& submission);
   void reply_with_stored_state(const submission_ptr& submission);
@@ -76,6 +79,7 @@
   std::vector<config::team> teams_;
   node_services& services_;
   terminal_state_cache& terminal_states_;
+  answer_statistics& statistics_;
   job_state_reader& state_reader_;
   acceptance_check acceptance_;
   submission_writer writer_;
--- a/src/base/metrics.hpp
+++ b/src/base/metrics.hpp
@@ -71,6 +71,8 @@
 struct metrics {
   /// Durations of the scheduling cycles on the scheduling thread.
   duration_histogram scheduling_cycles;
+  /// How late the event loop runs its timers.
+  duration_histogram loop_delays;
   // Time spent on the event loop's thread, by activity:
   duration heartbeat_time{};
   duration user_request_time{};
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -48,9 +48,10 @@
       machine_types_(runtime, store_, platform_settings_.cloud),
       heartbeat_router_(runtime, platform_settings_, elector_, delegate_, metrics_,
                         router_callbacks()),
-      watchdog_(runtime, platform_settings_.worker_heartbeat_interval, peers_, elector_,
+      watchdog_(runtime, platform_settings_.worker_heartbeat_interval, peers_, elector_, metrics_,
                 [this] { return is_leader() ? term_.get() : nullptr; }),
-      status_logger_(runtime, status_callbacks()) {}
+      status_logger_(runtime, status_callbacks()),
+      query_failure_logger_(runtime, api_.statistics(), [this] { return known_leader(); }) {}
 
 controller::~controller() { term_.reset(); }
 
@@ -62,6 +63,7 @@
   machine_types_.start();
   watchdog_.start();
   status_logger_.start();
+  query_failure_logger_.start();
 }
 
 api::options controller::api_options() const {
@@ -99,10 +101,7 @@
           .job_announced = [this](const job_id& job) { fetch_announced_job(job); },
           .store_reachable = [this] { return store_reachable(); },
           .heartbeats_seen = [this] { return heartbeat_router_.recent_redirects(); },
-          .leader =
-              [this] {
-                return peers::leader_identity{elector_.leader().node, elector_.leader().token};
-              },
+          .leader = [this] { return known_leader(); },
           .leader_observed = [this](const node_name& node,
                                     fencing_token token) { elector_.observe_leader(node, token); }};
 }
@@ -213,6 +212,14 @@
   return runtime_.now() - store_.last_response_time() < store_timeout;
 }
 
+void controller::report_server(const std::string& name, const net::http_server& server) {
+  servers_.emplace(name, &server);
+}
+
+peers::leader_identity controller::known_leader() const {
+  return {elector_.leader().node, elector_.leader().token};
+}
+
 void controller::handle_public_request(const net::request& message, const net::reply_fn& reply) {
   if (message.target == "/v1/report") {
     heartbeat_router_.handle(message, reply);
@@ -254,7 +261,9 @@
                            {"store_reachable", store_reachable()},
                            {"dependencies_supported", dependencies_supported()}};
   add_metrics(metrics_, report);
+  report["queries"] = api_.statistics().summary();
   add_peers(peers_, report);
+  for (const auto& [name, server] : servers_) add_server(name, server->statistics(), report);
   if (term_) report["term"] = term_->status();
   if (!dependencies_supported())
     report["waiting_for_versions_of"] = texts_of(versions_.nodes_without_support());
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -39,6 +39,9 @@
   void handle_public_request(const net::request& message, const net::reply_fn& reply);
   /// Handles a request from another controller.
   void handle_peer_request(const net::request& message, const net::reply_fn& reply);
+  /// Includes the connections of a server in the status report. The server has to outlive the
+  /// controller's last status report.
+  void report_server(const std::string& name, const net::http_server& server);
   /// Reports whether this controller holds the leader's lease and has read all records from the
   /// store.
   bool is_leader() const override { return elector_.lease_valid() && term_ && term_->ready(); }
@@ -74,6 +77,7 @@
   void end_term();
   void fetch_announced_job(const job_id& job);
   bool is_reachable(const node_name& node) const;
+  peers::leader_identity known_leader() const;
   zone_name zone_of(const node_name& node) const;
 
   net::runtime& runtime_;
@@ -91,7 +95,9 @@
   heartbeat_router heartbeat_router_;
   leader_watchdog watchdog_;
   status_logger status_logger_;
-  std::unique_ptr<leader::leader_term> term_;  // null unless this controller is leader
+  query_failure_logger query_failure_logger_;
+  std::map<std::string, const net::http_server*> servers_;  // by name in the status report
+  std::unique_ptr<leader::leader_term> term_;               // null unless this controller is leader
 };
 
 }  // namespace gingerdrift::daemon
--- a/src/daemon/leader_watchdog.cpp
+++ b/src/daemon/leader_watchdog.cpp
@@ -23,11 +23,13 @@
 
 leader_watchdog::leader_watchdog(net::runtime& runtime, duration heartbeat_period,
                                  const peers::peer_network& peers,
-                                 leadership::leader_elector& elector, leading_term_fn leading_term)
+                                 leadership::leader_elector& elector, metrics& controller_metrics,
+                                 leading_term_fn leading_term)
     : runtime_(runtime),
       heartbeat_period_(heartbeat_period),
       peers_(peers),
       elector_(elector),
+      metrics_(controller_metrics),
       leading_term_(std::move(leading_term)),
       timer_(runtime) {}
 
@@ -38,17 +40,18 @@
 
 void leader_watchdog::check() {
   timer_.start(check_period, [this] { check(); });
-  log_process_stall();
+  measure_loop_delay();
   const auto* term = leading_term_();
   if (term == nullptr || term->known_machine_count() == 0) return;
   if (runtime_.now() - term->last_heartbeat() >= heartbeat_timeout(*term))
     step_down_if_peer_receives_heartbeats();
 }
 
-void leader_watchdog::log_process_stall() {
+void leader_watchdog::measure_loop_delay() {
   const time_point now = runtime_.now();
   const duration since_last_check = now - last_check_;
   last_check_ = now;
+  metrics_.loop_delays.add(std::max(duration::zero(), since_last_check - check_period));
   if (since_last_check > stall_threshold)
     spdlog::info("process_stalled for_s={:.1f}", to_seconds(since_last_check));
 }
--- a/src/daemon/leader_watchdog.hpp
+++ b/src/daemon/leader_watchdog.hpp
@@ -10,7 +10,8 @@
 namespace gingerdrift::daemon {
 
 /// Makes this controller step down as leader if it receives no heartbeats from workers while one of
-/// its peers does. Also logs when this process has been stalled.
+/// its peers does. Also measures how late the event loop runs, and logs when this process has been
+/// stalled.
 class leader_watchdog {
  public:
   /// Returns the leader term of this controller, or nullptr if it does not lead.
@@ -18,14 +19,14 @@
   /// `heartbeat_period` is the interval at which each worker sends heartbeats.
   leader_watchdog(net::runtime& runtime, duration heartbeat_period,
                   const peers::peer_network& peers, leadership::leader_elector& elector,
-                  leading_term_fn leading_term);
+                  metrics& controller_metrics, leading_term_fn leading_term);
 
   /// Starts the periodic checks, one every half second.
   void start();
 
  private:
   void check();
-  void log_process_stall();
+  void measure_loop_delay();
   duration heartbeat_timeout(const leader::leader_term& term) const;
   void step_down_if_peer_receives_heartbeats();
 
@@ -33,6 +34,7 @@
   const duration heartbeat_period_;
   const peers::peer_network& peers_;
   leadership::leader_elector& elector_;
+  metrics& metrics_;
   leading_term_fn leading_term_;
   time_point last_check_{};
   net::timer timer_;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -88,6 +88,8 @@
   }
   spdlog::info("controller_started version={} node={} address={}", GINGERDRIFT_VERSION,
                platform_settings.node, platform_settings.listen);
+  controller.report_server("public", public_server);
+  controller.report_server("peer", peer_server);
   controller.start();
   runtime.run();
   return 0;
--- a/src/daemon/status_report.cpp
+++ b/src/daemon/status_report.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 constexpr auto log_period = seconds(30);
+/// Period of the reports of requests that were not answered.
+constexpr auto failure_log_period = seconds(10);
 }  // namespace
 
 void add_metrics(const metrics& metrics, nlohmann::json& report) {
@@ -14,6 +16,7 @@
   report["starts"] = metrics.starts;
   report["preemptions"] = metrics.preemptions;
   report["upgrades"] = metrics.upgrades;
+  report["loop_delay"] = metrics.loop_delays.summary();
   report["cycles"] = metrics.scheduling_cycles.summary();
   report["user_requests"] = metrics.user_requests;
   report["spent_s"] = {{"heartbeats", to_seconds(metrics.heartbeat_time)},
@@ -31,6 +34,16 @@
   }
 }
 
+void add_server(const std::string& name, const net::server_statistics& server,
+                nlohmann::json& report) {
+  report["servers"][name] = {{"open", server.open},
+                             {"open_max", server.open_max},
+                             {"accepted", server.accepted},
+                             {"refused_at_limit", server.refused_at_limit},
+                             {"closed_for_others", server.closed_for_others},
+                             {"closed_near_limit", server.closed_near_limit}};
+}
+
 status_logger::status_logger(net::runtime& runtime, callbacks owner_callbacks)
     : callbacks_(std::move(owner_callbacks)), timer_(runtime) {}
 
@@ -43,4 +56,22 @@
   if (callbacks_.is_leader()) spdlog::info("status_report {}", callbacks_.status());
 }
 
+query_failure_logger::query_failure_logger(net::runtime& runtime,
+                                           const api::answer_statistics& statistics,
+                                           leader_fn leader)
+    : statistics_(statistics), leader_(std::move(leader)), timer_(runtime) {}
+
+void query_failure_logger::start() {
+  timer_.start(failure_log_period, [this] { log_failures(); });
+}
+
+void query_failure_logger::log_failures() {
+  start();
+  const std::string failures = statistics_.failures_since(logged_);
+  logged_ = statistics_;
+  if (failures.empty()) return;
+  const peers::leader_identity leader = leader_();
+  spdlog::info("requests_not_answered leader={} term={} {}", leader.node, leader.token, failures);
+}
+
 }  // namespace gingerdrift::daemon
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "net/address.hpp"
@@ -45,10 +46,16 @@
   // Accepted even at the connection limit, so that the connection is closed instead of staying in
   // the backlog.
   const auto error = connection->accept(listener_);
-  if (error || is_full()) return;
+  if (error) return;
+  ++counts_.accepted;
+  if (is_full()) {
+    ++counts_.refused_at_limit;
+    return;
+  }
   connection->start();
   const auto id = connection->id();
   connections_.emplace(id, std::move(connection));
+  counts_.open_max = std::max(counts_.open_max, connections_.size());
 }
 
 void http_server::on_request(server_connection& connection, const request& message) {
@@ -62,9 +69,18 @@
 void http_server::send_response(server_connection::id_type id, const response& result) {
   const auto found = connections_.find(id);
   if (found == connections_.end() || !found->second->awaits_response()) return;
-  found->second->send_response(result, is_near_connection_limit()
-                                           ? connection_persistence::close
-                                           : connection_persistence::keep_alive);
+  if (is_near_connection_limit()) {
+    ++counts_.closed_near_limit;
+    found->second->send_response(result, connection_persistence::close);
+  } else {
+    found->second->send_response(result, connection_persistence::keep_alive);
+  }
+}
+
+server_statistics http_server::statistics() const {
+  server_statistics result = counts_;
+  result.open = connections_.size();
+  return result;
 }
 
 bool http_server::is_near_connection_limit() const {
@@ -80,7 +96,9 @@
     if (longest_idle == nullptr || *since < *longest_idle->idle_since())
       longest_idle = connection.get();
   }
-  if (longest_idle != nullptr) connections_.erase(longest_idle->id());
+  if (longest_idle == nullptr) return;
+  ++counts_.closed_for_others;
+  connections_.erase(longest_idle->id());
 }
 
 void http_server::close_overdue() {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +27,16 @@
   std::string message() const;
 };
 
+/// Connections of a server, counted since its start.
+struct server_statistics {
+  std::size_t open = 0;      // now, including idle ones
+  std::size_t open_max = 0;  // at most at any time
+  std::uint64_t accepted = 0;
+  std::uint64_t refused_at_limit = 0;   // closed at once, as no idle connection could be closed
+  std::uint64_t closed_for_others = 0;  // idle ones that were closed for a new one
+  std::uint64_t closed_near_limit = 0;  // closed after a response near the connection limit
+};
+
 /// HTTP/1.1 server on the event loop. Every connection has a deadline in every state, except while
 /// the handler processes its request; the handler replies within a deadline of its own.
 ///
@@ -48,6 +59,8 @@
   std::optional<listen_error> listen(const std::string& address);
   /// Returns the number of open connections, including idle ones.
   std::size_t open_connections() const { return connections_.size(); }
+  /// Returns the counts of connections.
+  server_statistics statistics() const;
 
  private:
   void on_connection() override;
@@ -64,6 +77,7 @@
   server_limits limits_;
   handler_fn handler_;
   tcp_listener listener_;
+  server_statistics counts_;  // without `open`
   server_connection::id_type next_id_ = 1;
   std::unordered_map<server_connection::id_type, std::unique_ptr<server_connection>> connections_;
   timer overdue_check_timer_;
--- a/tests/leader_watchdog_test.cpp
+++ b/tests/leader_watchdog_test.cpp
@@ -36,8 +36,8 @@
   sim_runtime peer_runtime{net, "node-1"};
   peers::peer_network peer{peer_runtime, "node-1", {}, peer_callbacks()};
   peers::peer_network peers{runtime, "node-0", {{"node-1", "node-1:2"}}, peer_callbacks()};
-  daemon::leader_watchdog watchdog{runtime, seconds(3), peers, elector,
-                                   [this] { return term.get(); }};
+  daemon::leader_watchdog watchdog{runtime, seconds(3), peers,
+                                   elector, measured,   [this] { return term.get(); }};
 };
 }  // namespace
 
--- a/tests/status_report_test.cpp
+++ b/tests/status_report_test.cpp
@@ -54,6 +54,45 @@
   EXPECT_EQ(report["peers"]["node-1"]["store_reachable"], false);
 }
 
+TEST_F(status_report_test, shows_how_queries_were_answered_and_why_others_were_not) {
+  api::answer_statistics statistics;
+  statistics.answers.add(api::answer_source::leader_response);
+  statistics.forwarding_failures.add(api::forwarding_failure::no_response);
+  statistics.retries.add(api::retry_reason::state_service_budget_used_up);
+  statistics.retries.add(api::retry_reason::state_service_budget_used_up);
+  const nlohmann::json summary = statistics.summary();
+  EXPECT_EQ(summary["answers"], nlohmann::json({{"leader_response", 1}}));
+  EXPECT_EQ(summary["forwarding_failures"], nlohmann::json({{"no_response", 1}}));
+  EXPECT_EQ(summary["retries"], nlohmann::json({{"state_service_budget_used_up", 2}}));
+}
+
+TEST_F(status_report_test, failures_since_an_earlier_report_leave_out_what_did_not_increase) {
+  api::answer_statistics statistics;
+  statistics.retries.add(api::retry_reason::no_leader);
+  const api::answer_statistics earlier = statistics;
+  EXPECT_EQ(statistics.failures_since(earlier), "");
+  statistics.retries.add(api::retry_reason::record_outdated);
+  statistics.forwarding_failures.add(api::forwarding_failure::refused);
+  EXPECT_EQ(statistics.failures_since(earlier), "record_outdated=1 forward_refused=1");
+}
+
+TEST_F(status_report_test, shows_the_connections_of_a_server) {
+  const net::server_statistics server{.open = 1,
+                                      .open_max = 2,
+                                      .accepted = 3,
+                                      .refused_at_limit = 4,
+                                      .closed_for_others = 5,
+                                      .closed_near_limit = 6};
+  nlohmann::json report;
+  daemon::add_server("peer", server, report);
+  EXPECT_EQ(report["servers"]["peer"], nlohmann::json({{"open", 1},
+                                                       {"open_max", 2},
+                                                       {"accepted", 3},
+                                                       {"refused_at_limit", 4},
+                                                       {"closed_for_others", 5},
+                                                       {"closed_near_limit", 6}}));
+}
+
 TEST_F(status_report_test, a_leader_logs_its_status_every_30_s) {
   logger.start();
   net.run_for(seconds(95));
