Read a connection's request before closing it for another connection

Callers saw connections reset at the public and the peer port of a busy leader, although it was alive, and then asked again on new connections.

Cause: action on stale knowledge. At its connection limit, http_server closed the connection that had been idle for longest each time libuv reported a waiting connection. libuv accepts all waiting connections before it reads any of them, so when the event loop ran late, connections whose requests had already arrived were taken for idle and closed unread; the repeated requests made the next connections wait.

Fix: a connection counts as idle only if the loop has polled it since it was accepted, and the decision is taken after the poll, when everything that had arrived has been read. Until then the new connection waits and the listener accepts no further one. If all polled connections are busy, the new one is closed as before.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -26,7 +26,12 @@
       limits_(limits),
       handler_(std::move(handler)),
       listener_(runtime.loop(), *this),
-      overdue_check_timer_(runtime) {
+      poll_check_(make_check_handle(
+          runtime.loop(),
+          [](uv_check_t* handle) { static_cast<http_server*>(handle->data)->after_poll(); })),
+      overdue_check_timer_(runtime),
+      next_poll_timer_(runtime) {
+  poll_check_->data = this;
   set_max_header_bytes(max_header_bytes);
   close_overdue();
 }
@@ -40,9 +45,28 @@
 }
 
 void http_server::on_connection() {
-  if (is_full()) close_longest_idle();
+  if (is_full()) {
+    connection_waits_ = true;
+  } else {
+    accept_connection();
+  }
+}
+
+void http_server::after_poll() {
+  const bool must_wait =
+      connection_waits_ && is_full() && !close_longest_idle() && has_unpolled_connection();
+  ++poll_count_;
+  if (must_wait) {
+    next_poll_timer_.start(duration::zero(), [] {});  // lets the next poll return at once
+  } else if (std::exchange(connection_waits_, false)) {
+    accept_connection();
+  }
+}
+
+void http_server::accept_connection() {
   server_connection::observer& owner = *this;
-  auto connection = std::make_unique<server_connection>(next_id_++, runtime_, limits_, owner);
+  auto connection =
+      std::make_unique<server_connection>(next_id_++, runtime_, limits_, poll_count_, owner);
   // Accepted even at the connection limit, so that the connection is closed instead of staying in
   // the backlog.
   const auto error = connection->accept(listener_);
@@ -53,6 +77,7 @@
     return;
   }
   connection->start();
+  last_accepting_poll_ = poll_count_;
   const auto id = connection->id();
   connections_.emplace(id, std::move(connection));
   counts_.open_max = std::max(counts_.open_max, connections_.size());
@@ -88,17 +113,18 @@
          static_cast<double>(limits_.connections) * limits_.keep_alive_share;
 }
 
-void http_server::close_longest_idle() {
+bool http_server::close_longest_idle() {
   const server_connection* longest_idle = nullptr;
   for (const auto& [id, connection] : connections_) {
     const auto since = connection->idle_since();
-    if (!since) continue;
+    if (!since || connection->accepted_in_poll() == poll_count_) continue;
     if (longest_idle == nullptr || *since < *longest_idle->idle_since())
       longest_idle = connection.get();
   }
-  if (longest_idle == nullptr) return;
+  if (longest_idle == nullptr) return false;
   ++counts_.closed_for_others;
   connections_.erase(longest_idle->id());
+  return true;
 }
 
 void http_server::close_overdue() {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -13,6 +13,7 @@
 #include "net/timer.hpp"
 #include "net/transport.hpp"
 #include "net/uv_error.hpp"
+#include "net/uv_handle.hpp"
 #include "net/uv_runtime.hpp"
 
 namespace gingerdrift::net {
@@ -41,7 +42,9 @@
 /// the handler processes its request; the handler replies within a deadline of its own.
 ///
 /// The number of connections is limited. At the limit, a new connection replaces the one that has
-/// been idle for longest, or is closed if none is idle. Near the limit, the server closes each
+/// been idle for longest, or is closed if none is idle. A connection counts as idle only once the
+/// event loop has polled it without receiving a request: when the loop runs late, requests of
+/// connections that seem idle wait unread. Near the limit, the server closes each
 /// connection after its response. Workers can then share fewer sockets than there are workers: no
 /// client is disconnected between its request and the response, and no worker loses its lease
 /// because it cannot get a connection.
@@ -70,7 +73,14 @@
   void send_response(server_connection::id_type id, const response& result);
   bool is_full() const { return connections_.size() >= limits_.connections; }
   bool is_near_connection_limit() const;
-  void close_longest_idle();
+  void accept_connection();
+  /// Runs after each poll of the event loop, when all requests that had arrived have been read.
+  void after_poll();
+  /// Closes the connection that has been idle for longest. Returns false if none is known to be
+  /// idle.
+  bool close_longest_idle();
+  /// Reports whether any connection has not been polled since it was accepted.
+  bool has_unpolled_connection() const { return last_accepting_poll_ == poll_count_; }
   void close_overdue();
 
   uv_runtime& runtime_;
@@ -80,7 +90,12 @@
   server_statistics counts_;  // without `open`
   server_connection::id_type next_id_ = 1;
   std::unordered_map<server_connection::id_type, std::unique_ptr<server_connection>> connections_;
+  handle_ptr<uv_check_t> poll_check_;
+  std::uint64_t poll_count_ = 0;           // polls of the event loop that have ended
+  std::uint64_t last_accepting_poll_ = 0;  // the poll in which a connection was last accepted
+  bool connection_waits_ = false;          // at the limit; the listener accepts no others meanwhile
   timer overdue_check_timer_;
+  timer next_poll_timer_;
   callback_guard guard_;
 };
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -16,8 +16,9 @@
 }  // namespace
 
 server_connection::server_connection(id_type id, uv_runtime& runtime, const server_limits& limits,
-                                     observer& owner)
+                                     std::uint64_t accepted_in_poll, observer& owner)
     : id_(id),
+      accepted_in_poll_(accepted_in_poll),
       runtime_(runtime),
       limits_(limits),
       owner_(owner),
--- a/src/net/server_connection.hpp
+++ b/src/net/server_connection.hpp
@@ -38,12 +38,17 @@
   };
 
   /// Creates a connection that is not yet accepted; see accept(). `runtime`, `limits` and `owner`
-  /// must outlive it. `owner` receives its events.
-  server_connection(id_type id, uv_runtime& runtime, const server_limits& limits, observer& owner);
+  /// must outlive it. `owner` receives its events. `accepted_in_poll`: the number of the event
+  /// loop's poll in which it is accepted.
+  server_connection(id_type id, uv_runtime& runtime, const server_limits& limits,
+                    std::uint64_t accepted_in_poll, observer& owner);
   server_connection(const server_connection&) = delete;
   server_connection& operator=(const server_connection&) = delete;
 
   id_type id() const { return id_; }
+  /// Returns the number of the poll in which the connection was accepted. Until the next poll,
+  /// nothing that it received has been read.
+  std::uint64_t accepted_in_poll() const { return accepted_in_poll_; }
   /// Accepts a pending connection of `listener`.
   std::optional<uv_error> accept(tcp_listener& listener);
   /// Starts to read requests.
@@ -76,6 +81,7 @@
   void close_after_writing();
 
   id_type id_;
+  std::uint64_t accepted_in_poll_;
   uv_runtime& runtime_;
   const server_limits& limits_;
   observer& owner_;
--- a/src/net/uv_handle.hpp
+++ b/src/net/uv_handle.hpp
@@ -44,4 +44,14 @@
   return handle_ptr<uv_async_t>(async.release());
 }
 
+/// Creates a handle that calls `checked` after each poll of the loop, until the handle is closed.
+/// It does not keep the loop running.
+inline handle_ptr<uv_check_t> make_check_handle(uv_loop_t* loop, uv_check_cb checked) {
+  auto check = std::make_unique<uv_check_t>();
+  uv_check_init(loop, check.get());
+  uv_check_start(check.get(), checked);
+  uv_unref(reinterpret_cast<uv_handle_t*>(check.get()));
+  return handle_ptr<uv_check_t>(check.release());
+}
+
 }  // namespace gingerdrift::net
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -117,6 +117,35 @@
   return result;
 }
 
+/// A plain socket that has sent bytes and not yet read anything.
+class raw_client {
+ public:
+  raw_client(const std::string& address, std::string_view bytes)
+      : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in server = net::parse_address(address).value();
+    EXPECT_EQ(connect(descriptor_, reinterpret_cast<const sockaddr*>(&server), sizeof server), 0);
+    EXPECT_EQ(send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+  raw_client(raw_client&& other) noexcept : descriptor_(std::exchange(other.descriptor_, -1)) {}
+  raw_client(const raw_client&) = delete;
+  raw_client& operator=(const raw_client&) = delete;
+  raw_client& operator=(raw_client&&) = delete;
+  ~raw_client() {
+    if (descriptor_ >= 0) close(descriptor_);
+  }
+
+  /// Returns what has arrived so far, without waiting.
+  std::string read() const {
+    std::array<char, 1024> buffer{};
+    const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    return count > 0 ? std::string(buffer.data(), static_cast<std::size_t>(count)) : std::string();
+  }
+
+ private:
+  int descriptor_;
+};
+
 /// A client, and a server whose responses repeat the method, target and body size of the request,
 /// except for a few targets with special responses.
 class http : public ::testing::Test, protected http_pair {
@@ -320,6 +349,27 @@
   EXPECT_TRUE(run_until(pair.runtime, [&] { return pair.runtime.open_client_connections() == 1; }));
 }
 
+TEST(http_server, at_the_connection_limit_no_connection_is_closed_before_its_request_was_read) {
+  net::server_limits limits;
+  limits.connections = 2;
+  limits.keep_alive_share = 1;
+  http_pair pair({}, limits,
+                 [](const net::request&, const net::reply_fn& reply) { reply(ok("")); });
+  constexpr std::size_t clients = 6;
+  std::vector<raw_client> connected;
+  for (std::size_t i = 0; i < clients; ++i)
+    connected.emplace_back(pair.address, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+
+  // All connections wait to be accepted, with their requests, before the server runs at all.
+  pair.runtime.after(seconds(1), [&pair] { pair.runtime.stop(); });
+  pair.runtime.run();
+
+  std::size_t answered = 0;
+  for (auto& client : connected) answered += client.read().starts_with("HTTP/1.1 200") ? 1 : 0;
+  EXPECT_EQ(answered, clients);
+  EXPECT_EQ(pair.server.statistics().accepted, clients);
+}
+
 TEST(http_server, listening_on_an_invalid_address_returns_an_error_that_names_it) {
   net::uv_runtime runtime({});
   net::http_server server(runtime, {}, [](const net::request&, const net::reply_fn&) {});
