Tests: share settings and record checks, and limit simulated calls

sim_service's settings and the checks of stored records move to support/settings_text and support/stored_record_checks, so that other environments can use them. A simulated runtime can limit the concurrent and queued calls to an address, as net::http_client does, and the network can delay the requests to a host, as a late event loop does. Without these no test in virtual time could show a query that expires while it waits for a connection.

--- a/tests/support/sim_cloud.cpp
+++ b/tests/support/sim_cloud.cpp
@@ -73,7 +73,7 @@
   for (const auto& [name, machine] : fleet_.machines()) {
     if (machine->is_gone()) continue;
     machines.push_back({{"nameId", name},
-                        {"addr", name + ":9"},
+                        {"addr", context_.machine_address(name)},
                         {"flavor", "g8"},
                         {"yard", machine->zone()},
                         {"loaners", machine->spot()},
--- a/tests/support/sim_machine.cpp
+++ b/tests/support/sim_machine.cpp
@@ -95,10 +95,11 @@
 }
 
 json sim_machine::status() {
-  json body = {{"host", name_},          {"addr", name_ + ":9"}, {"flavor", "g8"},
-               {"yard", zone_},          {"loaners", spot_},     {"shift", incarnation_},
-               {"tick", ++sequence_},    {"baton", token_},      {"warningS", nullptr},
-               {"pieces", json::array()}};
+  json body = {{"host", name_},       {"addr", context().machine_address(name_)},
+               {"flavor", "g8"},      {"yard", zone_},
+               {"loaners", spot_},    {"shift", incarnation_},
+               {"tick", ++sequence_}, {"baton", token_},
+               {"warningS", nullptr}, {"pieces", json::array()}};
   for (const auto& [key, reported] : tasks_) {
     json entry = {{"piece", key.job + "/" + std::to_string(key.index)},
                   {"try", reported.attempt},
--- a/tests/support/sim_net.cpp
+++ b/tests/support/sim_net.cpp
@@ -1,5 +1,6 @@
 #include "support/sim_net.hpp"
 
+#include <algorithm>
 #include <memory>
 
 #include "support/json.hpp"
@@ -53,10 +54,11 @@
   }
   const auto arrives = arrival(from, host);
   if (!arrives) return;
-  run_at(*arrives, [this, from, host, address, message = std::move(message), finish, finished] {
-    expired_arrivals_ += *finished;
-    deliver(from, host, address, message, finish);
-  });
+  run_at(*arrives + request_delay(host),
+         [this, from, host, address, message = std::move(message), finish, finished] {
+           expired_arrivals_ += *finished;
+           deliver(from, host, address, message, finish);
+         });
 }
 
 void sim_net::maybe_copy_late(const std::string& address, const net::request& message) {
@@ -112,6 +114,52 @@
 
 void sim_runtime::call(const std::string& address, net::request message, duration deadline,
                        net::reply_fn done) {
+  if (!limits_) return start_call(address, std::move(message), deadline, std::move(done));
+  queued_call call{.id = next_call_++,
+                   .message = std::move(message),
+                   .expires_at = now() + deadline,
+                   .done = std::move(done)};
+  const call_line& line = lines_[address];
+  if (line.active < limits_->concurrent) {
+    start_limited_call(address, std::move(call));
+  } else if (line.queue.size() < limits_->queued) {
+    enqueue_call(address, std::move(call));
+  } else {
+    after(duration::zero(), [done = std::move(call.done)] { done({}); });
+  }
+}
+
+void sim_runtime::start_limited_call(const std::string& address, queued_call call) {
+  ++lines_[address].active;
+  const auto finish = [this, address, done = std::move(call.done)](const net::response& reply) {
+    call_line& line = lines_[address];
+    --line.active;
+    done(reply);
+    if (line.queue.empty() || line.active >= limits_->concurrent) return;
+    queued_call next = std::move(line.queue.front());
+    line.queue.pop_front();
+    start_limited_call(address, std::move(next));
+  };
+  start_call(address, std::move(call.message), call.expires_at - now(), finish);
+}
+
+void sim_runtime::enqueue_call(const std::string& address, queued_call call) {
+  after(call.expires_at - now(),
+        [this, address, id = call.id] { expire_queued_call(address, id); });
+  lines_[address].queue.push_back(std::move(call));
+}
+
+void sim_runtime::expire_queued_call(const std::string& address, std::uint64_t id) {
+  auto& queue = lines_[address].queue;
+  const auto expired = std::ranges::find(queue, id, &queued_call::id);
+  if (expired == queue.end()) return;
+  const net::reply_fn done = std::move(expired->done);
+  queue.erase(expired);
+  done({});
+}
+
+void sim_runtime::start_call(const std::string& address, net::request message, duration deadline,
+                             net::reply_fn done) {
   net_.call(host_, address, std::move(message), deadline,
             guard_.wrap([this, done = std::move(done)](const net::response& reply) {
               const time_point resumes_at = net_.frozen_until(host_);
--- a/tests/support/sim_net.hpp
+++ b/tests/support/sim_net.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -80,6 +81,10 @@
   void freeze(const std::string& host, duration span) { frozen_until_[host] = now() + span; }
   time_point frozen_until(const std::string& host) const { return end_of(frozen_until_, host); }
 
+  /// Delays the processing of each request that arrives at the host, as a busy event loop does.
+  /// Answers that arrive there are not delayed.
+  void delay_requests(const std::string& host, duration delay) { request_delays_[host] = delay; }
+
   /// Called when a late copy of a request is delivered.
   std::function<void(const std::string& address, const net::request&)> on_late_copy;
   /// Called for every message of the service, its workers, its users and external systems.
@@ -126,6 +131,10 @@
   void deliver(const std::string& from, const std::string& host, const std::string& address,
                const net::request& message, const net::reply_fn& finish);
   duration latency() { return from_seconds(uniform(0.0005, 0.003)); }
+  duration request_delay(const std::string& host) const {
+    const auto delay = request_delays_.find(host);
+    return delay == request_delays_.end() ? duration::zero() : delay->second;
+  }
   /// Returns when a packet sent now arrives, or nullopt if it is lost.
   std::optional<time_point> arrival(const std::string& sender, const std::string& receiver);
 
@@ -135,10 +144,17 @@
   late_copy_rule late_copies_;
   std::map<std::string, time_point> muted_until_;
   std::map<std::string, time_point> frozen_until_;
+  std::map<std::string, duration> request_delays_;  // by host
   std::size_t expired_arrivals_ = 0;
   bool ever_held_packets_ = false;
 };
 
+/// Limits of the calls of a process to one address, like those of net::client_limits.
+struct call_limits {
+  std::size_t concurrent = 1;
+  std::size_t queued = 0;  // calls that wait for another to end; further ones fail at once
+};
+
 /// The runtime of a process on a simulated host. Its destruction cancels its timers and discards
 /// answers to its calls. Both are deferred while the host is frozen.
 class sim_runtime final : public net::runtime {
@@ -148,14 +164,37 @@
   time_point now() override { return net_.now(); }
   /// Returns a wall clock time whose offset from the epoch equals that of virtual time.
   wall_time wall_now() override;
+  /// Limits the calls to each address; there is no limit otherwise. The deadline of a call includes
+  /// the time for which it is queued.
+  void limit_calls(const call_limits& limits) { limits_ = limits; }
   net::timer_id after(duration delay, std::function<void()> action) override;
   void cancel(net::timer_id id) override;
   void call(const std::string& address, net::request message, duration deadline,
             net::reply_fn done) override;
 
  private:
+  struct queued_call {
+    std::uint64_t id;
+    net::request message;
+    time_point expires_at;
+    net::reply_fn done;
+  };
+  /// The calls to one address.
+  struct call_line {
+    std::size_t active = 0;
+    std::deque<queued_call> queue;
+  };
+  void start_call(const std::string& address, net::request message, duration deadline,
+                  net::reply_fn done);
+  void start_limited_call(const std::string& address, queued_call call);
+  void enqueue_call(const std::string& address, queued_call call);
+  void expire_queued_call(const std::string& address, std::uint64_t id);
+
   sim_net& net_;
   std::string host_;
+  std::optional<call_limits> limits_;
+  std::map<std::string, call_line> lines_;  // by address; only with limits
+  std::uint64_t next_call_ = 1;
   /// Maps each timer that became due while the host was frozen to the timer that replaces it.
   std::map<net::timer_id, net::timer_id> postponed_;
   callback_guard guard_;
--- a/tests/support/sim_service.cpp
+++ b/tests/support/sim_service.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
+
+#include "support/settings_text.hpp"
+#include "support/stored_record_checks.hpp"
 
 namespace gingerdrift::testing {
 
@@ -25,9 +27,6 @@
   return [reply](const former_version::response& answer) { reply(from_former(answer)); };
 }
 
-const std::string final_record_prefix = "gd/final/";
-const std::string head_record_prefix = "gd/job/";
-
 /// Addresses in the settings files of former versions, which accept only numeric addresses.
 constexpr const char* former_cloud_address = "10.2.0.2:1";
 constexpr const char* former_state_address = "10.2.0.1:1";
@@ -36,6 +35,16 @@
   return "10.0.0." + std::to_string(index + 10) + ":2";
 }
 
+/// Returns the settings with numeric addresses, which former versions require.
+config::platform_settings with_former_addresses(config::platform_settings own) {
+  own.listen = "10.0.0.1:1";
+  own.peer_listen = "10.0.0.1:2";
+  own.cloud = former_cloud_address;
+  own.state = former_state_address;
+  for (std::size_t i = 0; i < own.peers.size(); ++i) own.peers[i].address = former_peer_address(i);
+  return own;
+}
+
 former_host::address_map address_names(const config::platform_settings& own) {
   former_host::address_map names = {{former_cloud_address, own.cloud},
                                     {former_state_address, own.state}};
@@ -44,40 +53,6 @@
   return names;
 }
 
-/// Returns the settings in the format of the platform's settings file.
-std::string settings_text(const config::platform_settings& own) {
-  std::ostringstream out;
-  out << "host_name = \"" << own.node << "\"\nlocation = \"" << own.zone << "\"\n"
-      << "front = \"10.0.0.1:1\"\nmesh_addr = \"10.0.0.1:2\"\n";
-  for (std::size_t i = 0; i < own.peers.size(); ++i) {
-    const auto& peer = own.peers[i];
-    out << "[[known]]\nhost_name = \"" << peer.node << "\"\nlocation = \"" << peer.zone
-        << "\"\naddress = \"" << former_peer_address(i) << "\"\n";
-  }
-  out << "[services]\ncloud = \"" << former_cloud_address << "\"\nstate = \""
-      << former_state_address << "\"\n"
-      << "[params]\n";
-  for (const auto& team : own.teams) {
-    out << "[[params.teams]]\nname = \"" << team.name << "\"\ngpus = " << team.gpus
-        << "\ngpus_max = " << team.gpus_max << "\n";
-  }
-  out << "[params.workers]\nreport_s = " << to_seconds(own.worker_heartbeat_interval)
-      << "\nlease_s = " << to_seconds(own.worker_lease)
-      << "\ngang_wait_s = " << to_seconds(own.gang_start_timeout)
-      << "\ngang_peer_s = " << to_seconds(own.gang_peer_loss_timeout)
-      << "\ncancel_s = " << to_seconds(own.cancellation_deadline) << "\n";
-  const auto write_limits = [&out](const char* table, const kvstore::service_limits& limits) {
-    out << "[params." << table << "]\nrps = " << limits.requests_per_s
-        << "\nwrite_rps = " << limits.writes_per_s << "\nvalue_kb = " << limits.value_kb
-        << "\ntxn_ops = " << limits.txn_operations << "\n";
-  };
-  write_limits("state", own.state_limits);
-  if (own.announced_state_limits) write_limits("state.next", *own.announced_state_limits);
-  out << "[params.cloud]\nrps = " << own.cloud_rps << "\nlist_lag_s = " << to_seconds(own.list_lag)
-      << "\n";
-  return out.str();
-}
-
 }  // namespace
 
 void inline_scheduling_executor::run_cycle(fencing_token term, admission::snapshot snapshot,
@@ -112,10 +87,12 @@
 sim_service::sim_service(std::uint64_t seed, std::size_t controllers, site_parameters parameters,
                          const former_version::release* initial_release)
     : net(seed), state(net, state_address), site(net, parameters, front_addresses(controllers)) {
-  fill_settings();
+  settings = platform_settings_of(site.parameters);
+  settings.cloud = cloud_address;
+  settings.state = state_address;
   state.set_limits(settings.state_limits);
   for (const auto& team : settings.teams) site.limits[team.name] = team.gpus_max;
-  check_stored_records();
+  check_stored_records(state, site);
   processes_.resize(controllers);
   for (auto& initial : processes_) initial.former = initial_release;
   site.users.supports_dependencies = [this](const std::string& address) {
@@ -128,54 +105,6 @@
   for (std::size_t node = 0; node < controllers; ++node) start(node);
 }
 
-void sim_service::fill_settings() {
-  const site_parameters& parameters = site.parameters;
-  settings.cloud = cloud_address;
-  settings.state = state_address;
-  settings.zones = {"a", "b"};
-  const auto team = [&parameters](const char* name, double gpus, double gpus_max) {
-    return config::team{.name = name,
-                        .gpus = gpus * parameters.quota_factor,
-                        .gpus_max = gpus_max * parameters.quota_factor};
-  };
-  settings.teams = {team("red", 16, 32), team("blue", 8, 48), team("guest", 0, 24)};
-  settings.worker_heartbeat_interval = from_seconds(parameters.heartbeat_s);
-  settings.worker_lease = from_seconds(parameters.lease_s);
-  settings.gang_start_timeout = from_seconds(parameters.gang_wait_s);
-  settings.gang_peer_loss_timeout = from_seconds(parameters.gang_peer_s);
-  settings.cancellation_deadline = from_seconds(parameters.cancel_s);
-  settings.list_lag = from_seconds(parameters.list_lag_s);
-  settings.state_limits = {
-      .requests_per_s = 150, .writes_per_s = 60, .value_kb = 8, .txn_operations = 24};
-  settings.cloud_rps = 4;
-  settings.announced_state_limits = parameters.announced;
-}
-
-/// Checks that a final record never changes and that no head record is written for a job that has a
-/// final record.
-void sim_service::check_stored_records() {
-  state.on_change = [this](const std::string& key, const json* value) {
-    const bool is_final = key.rfind(final_record_prefix, 0) == 0;
-    if (is_final && state.peek(key) != nullptr)
-      site.violations.add("went_back: final record changed " + key);
-    const bool is_head = key.rfind(head_record_prefix, 0) == 0;
-    if (!is_head || value == nullptr) return;
-    if (state.peek(final_record_prefix + key.substr(head_record_prefix.size())) != nullptr)
-      site.violations.add("went_back: stored anew after its end " + key);
-  };
-  site.answer_checks.stored_final_state = [this](const std::string& job) {
-    return stored_final_state(job);
-  };
-}
-
-std::string sim_service::stored_final_state(const std::string& job) const {
-  const json* record = state.peek(final_record_prefix + job);
-  if (record == nullptr) record = state.peek(head_record_prefix + job);
-  if (record == nullptr || !record->contains("status")) return {};
-  const auto status = record->at("status").get<std::string>();
-  return status == "active" ? std::string() : status;
-}
-
 config::platform_settings sim_service::settings_of(std::size_t node) const {
   config::platform_settings own = settings;
   own.node = node_name(node_host(node));
@@ -194,6 +123,8 @@
   if (started.runtime) return;
   const auto own = settings_of(node);
   started.runtime = std::make_unique<sim_runtime>(net, own.node.str());
+  if (site.parameters.controller_calls)
+    started.runtime->limit_calls(*site.parameters.controller_calls);
   if (started.former != nullptr) {
     start_former(started, own);
   } else {
@@ -226,7 +157,7 @@
   const std::string host = own.node.str();
   const auto settings_file = std::filesystem::temp_directory_path() /
                              ("gingerdrift-" + std::to_string(::getpid()) + "-" + host + ".toml");
-  std::ofstream(settings_file) << settings_text(own);
+  std::ofstream(settings_file) << settings_text(with_former_addresses(own));
   started.host = std::make_unique<former_host>(*started.runtime, address_names(own));
   started.former_controller = started.former->make_controller(
       *started.host, settings_file.string(), from_seconds(site.parameters.scheduling_interval_s),
--- a/tests/support/sim_service.hpp
+++ b/tests/support/sim_service.hpp
@@ -104,9 +104,6 @@
     std::unique_ptr<inline_scheduling_executor> executor;
     std::unique_ptr<daemon::controller> controller;
   };
-  void fill_settings();
-  void check_stored_records();
-  std::string stored_final_state(const std::string& job) const;
   config::platform_settings settings_of(std::size_t node) const;
   void start_current(process& started, const config::platform_settings& own);
   void start_former(process& started, const config::platform_settings& own);
--- a/tests/support/site_context.hpp
+++ b/tests/support/site_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -26,6 +27,8 @@
   double quota_factor = 1;             // factor on the default guarantees and limits of the teams
   std::size_t capacity = 6;            // machines per zone and kind (on demand or spot)
   std::uint32_t final_cache = 4096;    // number of terminal states that a controller caches
+  /// Limits of each controller's calls to one address; none by default.
+  std::optional<call_limits> controller_calls;
   /// Future limits of the state service that the settings announce.
   std::optional<kvstore::service_limits> announced;
 };
@@ -49,6 +52,9 @@
   /// (tests/traces/README.md).
   std::map<std::string, std::size_t> event_counts;
   rule_violations violations;
+  /// Returns the address at which controllers reach a machine.
+  std::function<std::string(const std::string& machine)> machine_address =
+      [](const std::string& machine) { return machine + ":9"; };
 };
 
 /// Returns the host of an address HOST:PORT.
