Forward queries to the leader in batches

Cause: work begun for requests that can no longer succeed. A follower had 12 connections to the leader and a queue of 64 behind them, and the deadline of 1.2 s ran from the start of the wait. Once the leader's event loop was late by a few hundred milliseconds, 12 connections carried fewer queries than users sent. Each query then left the queue just before its deadline, failed in flight, and its connection was closed and opened anew, which made the leader later still. It did not end by itself. The fallback on the store is sized for a few queries a second and answered the rest with 503.

The leader answers a batch from memory at once and leaves indeterminate states to the follower's own read. Evidence of answers is unchanged: the leader's memory while its lease is valid, after the question.

--- a/src/api/http_api.cpp
+++ b/src/api/http_api.cpp
@@ -39,7 +39,8 @@
                     .terminal_states = terminal_states_,
                     .statistics = statistics_,
                     .state_reader = state_reader_},
-                   options.submissions, std::move(teams), options.node) {}
+                   options.submissions, std::move(teams), options.node),
+      forwarder_(runtime, services) {}
 
 void http_api::handle(const net::request& message, bool forwarded, const net::reply_fn& reply) {
   const std::string path = message.target.substr(0, message.target.find('?'));
@@ -56,11 +57,36 @@
     submissions_.handle(message, forwarded, reply);
   } else if (path.starts_with(jobs_path + "/")) {
     handle_job(path, message, forwarded, reply);
+  } else if (forwarded && path == query_batch_target) {
+    answer_query_batch(message, reply);
   } else {
     reply_not_found(reply);
   }
 }
 
+/// Answers the queries that another controller has collected, from the leader's memory only: a
+/// query that needs the state service would delay all others.
+void http_api::answer_query_batch(const net::request& message, const net::reply_fn& reply) {
+  if (!services_.is_leader()) return retry_later(statistics_, reply, retry_reason::not_leader);
+  const auto jobs = decode_query_batch(message.body);
+  if (!jobs) return reply_error(reply, 400, "malformed");
+  std::vector<query_answer> answers;
+  answers.reserve(jobs->size());
+  for (const auto& id : *jobs) answers.push_back(answer_from_memory(id));
+  reply({200, encode_query_answers(answers), std::nullopt, false});
+}
+
+query_answer http_api::answer_from_memory(const job_id& id) {
+  if (const auto state = terminal_states_.find(id)) {
+    statistics_.answers.add(answer_source::terminal_state_cache);
+    return {200, encode_job_state(id, *state)};
+  }
+  const auto state = services_.state_of(id);
+  if (!state || std::holds_alternative<job_store::indeterminate>(*state)) return {503, {}};
+  statistics_.answers.add(answer_source::leader_memory);
+  return {200, encode_job_state(id, *state)};
+}
+
 void http_api::handle_job(const std::string& path, const net::request& message, bool forwarded,
                           const net::reply_fn& reply) {
   std::string name = path.substr(jobs_path.size() + 1);
@@ -91,16 +117,15 @@
     return reply_state(statistics_, id, *state, reply);
   }
   if (request.forwarded) return retry_later(statistics_, reply, retry_reason::not_leader);
-  const auto handle_leader_reply = [this, id, sent = runtime_.now(),
-                                    reply](const net::response& leader_reply) {
-    if (const auto failure = find_failure(leader_reply, runtime_.now() - sent)) {
-      statistics_.forwarding_failures.add(*failure);
-      return state_reader_.read(id, reply);
-    }
-    statistics_.answers.add(answer_source::leader_response);
-    reply(leader_reply);
-  };
-  services_.forward_to_leader(request.message, guard_.wrap(handle_leader_reply));
+  forwarder_.forward(
+      id, guard_.wrap([this, id, reply](const net::response& leader_reply, duration age) {
+        if (const auto failure = find_failure(leader_reply, age)) {
+          statistics_.forwarding_failures.add(*failure);
+          return state_reader_.read(id, reply);
+        }
+        statistics_.answers.add(answer_source::leader_response);
+        reply(leader_reply);
+      }));
 }
 
 void http_api::cancel(const job_request& request, const net::reply_fn& reply) {
--- a/src/api/http_api.hpp
+++ b/src/api/http_api.hpp
@@ -6,7 +6,9 @@
 
 #include "api/answer_statistics.hpp"
 #include "api/job_state_reader.hpp"
+#include "api/leader_query_forwarder.hpp"
 #include "api/node_services.hpp"
+#include "api/query_batch.hpp"
 #include "api/submissions.hpp"
 #include "api/terminal_state_cache.hpp"
 #include "base/callback_guard.hpp"
@@ -60,6 +62,8 @@
   };
   void handle_job(const std::string& path, const net::request& message, bool forwarded,
                   const net::reply_fn& reply);
+  void answer_query_batch(const net::request& message, const net::reply_fn& reply);
+  query_answer answer_from_memory(const job_id& id);
   void read_state(const job_request& request, const net::reply_fn& reply);
   void cancel(const job_request& request, const net::reply_fn& reply);
   void cancel_job_not_in_memory(const job_id& id, const net::reply_fn& reply);
@@ -70,6 +74,7 @@
   terminal_state_cache terminal_states_;
   job_state_reader state_reader_;
   submissions submissions_;
+  leader_query_forwarder forwarder_;
   callback_guard guard_;
 };
 
--- a/src/api/responses.cpp
+++ b/src/api/responses.cpp
@@ -31,8 +31,7 @@
   return "";
 }
 
-void reply_state(answer_statistics& statistics, const job_id& job,
-                 const job_store::job_state& state, const net::reply_fn& reply) {
+std::string encode_job_state(const job_id& job, const job_store::job_state& state) {
   std::uint32_t done = 0;
   std::uint32_t running = 0;
   if (const auto* terminal = std::get_if<job_store::terminal_state>(&state)) {
@@ -40,10 +39,15 @@
   } else if (const auto* progress = std::get_if<job_store::in_progress>(&state)) {
     done = progress->done;
     running = progress->running;
-  } else {
-    return retry_later(statistics, reply, retry_reason::state_indeterminate);
   }
-  reply_json(reply, 200, encode_progress(job, state_name(state), done, running));
+  return encode_progress(job, state_name(state), done, running);
+}
+
+void reply_state(answer_statistics& statistics, const job_id& job,
+                 const job_store::job_state& state, const net::reply_fn& reply) {
+  if (std::holds_alternative<job_store::indeterminate>(state))
+    return retry_later(statistics, reply, retry_reason::state_indeterminate);
+  reply_json(reply, 200, encode_job_state(job, state));
 }
 
 void reply_state_name(const job_id& job, const job_store::job_state& state,
--- a/src/api/responses.hpp
+++ b/src/api/responses.hpp
@@ -25,6 +25,10 @@
 /// Replies with a permanent error: the same request would fail again.
 void reply_error(const net::reply_fn& reply, int status, const std::string& why);
 
+/// Returns the response body that shows the state and progress of a job. `state` must not be
+/// indeterminate.
+std::string encode_job_state(const job_id& job, const job_store::job_state& state);
+
 /// Replies to a request for a job's state with its state and progress, or with 503 while the state
 /// is indeterminate.
 void reply_state(answer_statistics& statistics, const job_id& job,
