--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -59,10 +59,12 @@
   return end;
 }
 
-/// Waits until the users have received the end of every job. Returns the jobs without an end.
+/// Waits until the users have received the end of every job, or a controller has ended by itself.
+/// Returns the jobs without an end.
 std::string wait_for_all_jobs(loopback_site& target) {
   for (duration waited{}; waited < recovery_time; waited += seconds(1)) {
     if (target.site.users.all_finished()) return {};
+    if (target.any_controller_ended()) break;
     target.run_for(seconds(1));
   }
   std::string unfinished;
