--- a/tests/soak/controller_process.cpp
+++ b/tests/soak/controller_process.cpp
@@ -1,12 +1,12 @@
 #include "soak/controller_process.hpp"
 
 #include <fcntl.h>
-#include <signal.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <csignal>
 #include <system_error>
 #include <utility>
 
--- a/tests/soak/loopback_site.cpp
+++ b/tests/soak/loopback_site.cpp
@@ -24,7 +24,7 @@
 std::string front_name(std::size_t node) { return host_name(node) + ":1"; }
 std::string peer_name(std::size_t node) { return host_name(node) + ":2"; }
 /// The controller node-2 is in zone b, all others are in zone a, as in sim_service.
-zone_name zone_of(std::size_t node) { return zone_name(node == 2 ? "b" : "a"); }
+zone_name zone_of(std::size_t node) { return node == 2 ? zone_name("b") : zone_name("a"); }
 
 std::vector<std::string> front_names(std::size_t controllers) {
   std::vector<std::string> names;
