--- a/src/api/leader_query_forwarder.cpp
+++ b/src/api/leader_query_forwarder.cpp
@@ -27,7 +27,7 @@
 
 void leader_query_forwarder::forward(const job_id& job, answer_fn done) {
   pending_query query{job, runtime_.now(), std::move(done)};
-  if (runtime_.now() < batches_unsupported_until_) return send_single(std::move(query));
+  if (runtime_.now() < batches_unsupported_until_) return send_single(query);
   if (waiting_.size() >= max_waiting_queries) return query.done({}, duration::zero());
   waiting_.push_back(std::move(query));
   send_waiting();
@@ -38,7 +38,7 @@
     query_list queries = take_waiting();
     if (queries.empty()) return;
     if (queries.size() == 1) {
-      send_single(std::move(queries.front()));
+      send_single(queries.front());
     } else {
       send_batch(std::move(queries));
     }
@@ -61,7 +61,7 @@
   return queries;
 }
 
-void leader_query_forwarder::send_single(pending_query query) {
+void leader_query_forwarder::send_single(const pending_query& query) {
   ++requests_in_flight_;
   services_.forward_to_leader(
       query_for(query.job),
--- a/src/api/leader_query_forwarder.hpp
+++ b/src/api/leader_query_forwarder.hpp
@@ -40,7 +40,7 @@
 
   void send_waiting();
   query_list take_waiting();
-  void send_single(pending_query query);
+  void send_single(const pending_query& query);
   void send_batch(query_list queries);
   void handle_batch_response(const query_list& queries, const net::response& response,
                              duration age);
