--- a/src/api/answer_statistics.cpp
+++ b/src/api/answer_statistics.cpp
@@ -28,13 +28,17 @@
 nlohmann::json answer_statistics::summary() const {
   return {{"answers", counts_by_name(answers)},
           {"forwarding_failures", counts_by_name(forwarding_failures)},
-          {"retries", counts_by_name(retries)}};
+          {"retries", counts_by_name(retries)},
+          {"late_responses", late_responses}};
 }
 
 std::string answer_statistics::failures_since(const answer_statistics& earlier) const {
   std::string fields;
   append_increases(retries, earlier.retries, "", fields);
   append_increases(forwarding_failures, earlier.forwarding_failures, "forward_", fields);
+  const std::uint64_t late = late_responses - earlier.late_responses;
+  if (late > 0)
+    fields += (fields.empty() ? "late_responses=" : " late_responses=") + std::to_string(late);
   return fields;
 }
 
--- a/src/api/answer_statistics.hpp
+++ b/src/api/answer_statistics.hpp
@@ -31,11 +31,13 @@
   enum_counter<answer_source, answer_source::stored_record> answers;
   enum_counter<forwarding_failure, forwarding_failure::outdated> forwarding_failures;
   enum_counter<retry_reason, retry_reason::records_contradict> retries;
+  /// Responses to queries, of any status, that were sent after their user had stopped to wait.
+  std::uint64_t late_responses = 0;
 
   /// Returns all counts for the status report. Values that never occurred are left out.
   nlohmann::json summary() const;
-  /// Returns the counts of `retries` and `forwarding_failures` since `earlier` as "name=count"
-  /// fields for the log; empty if there are none.
+  /// Returns the increases since `earlier` of all counts except `answers` as "name=count" fields
+  /// for the log; empty if there are none.
   std::string failures_since(const answer_statistics& earlier) const;
 };
 
--- a/src/api/http_api.cpp
+++ b/src/api/http_api.cpp
@@ -5,6 +5,8 @@
 namespace gingerdrift::api {
 
 namespace {
+/// How long a user waits for the response to a query.
+constexpr duration users_wait = seconds(2);
 const std::string health_path = "/healthz";
 const std::string status_path = "/status";
 const std::string jobs_path = "/work";
@@ -98,10 +100,17 @@
   if (is_cancellation) {
     cancel(request, reply);
   } else {
-    read_state(request, reply);
+    read_state(request, count_if_late(reply));
   }
 }
 
+net::reply_fn http_api::count_if_late(const net::reply_fn& reply) {
+  return guard_.wrap([this, received = runtime_.now(), reply](const net::response& response) {
+    if (runtime_.now() - received > users_wait) ++statistics_.late_responses;
+    reply(response);
+  });
+}
+
 void http_api::read_state(const job_request& request, const net::reply_fn& reply) {
   const job_id& id = request.id;
   if (const auto state = terminal_states_.find(id)) {
--- a/src/api/http_api.hpp
+++ b/src/api/http_api.hpp
@@ -64,6 +64,8 @@
                   const net::reply_fn& reply);
   void answer_query_batch(const net::request& message, const net::reply_fn& reply);
   query_answer answer_from_memory(const job_id& id);
+  /// Returns a reply function that also counts the response if it comes too late for its user.
+  net::reply_fn count_if_late(const net::reply_fn& reply);
   void read_state(const job_request& request, const net::reply_fn& reply);
   void cancel(const job_request& request, const net::reply_fn& reply);
   void cancel_job_not_in_memory(const job_id& id, const net::reply_fn& reply);
--- a/tests/query_forwarding_test.cpp
+++ b/tests/query_forwarding_test.cpp
@@ -136,4 +136,23 @@
   EXPECT_EQ(received.status, 404) << "the request came from a user";
 }
 
+TEST_F(scripted_node, a_response_after_its_user_stopped_to_wait_is_counted) {
+  state_service state(net, "state:1");
+  kvstore::client client(runtime, "state:1", {}, std::nullopt, {});
+  api::node_services& services = *this;
+  api::http_api users(runtime, client, {}, {}, services);
+  const auto query = [&users](const char* target) {
+    users.handle({"GET", target, ""}, false, [](const net::response&) {});
+  };
+  query("/work/run-1");
+  query("/work/run-2");
+  net.run_for(seconds(1));
+  answer(0, 200, "{}");
+  EXPECT_EQ(users.statistics().late_responses, 0U);
+  net.run_for(milliseconds(1001));
+  answer(1, 200, "{}");
+  net.run_for(seconds(1));
+  EXPECT_EQ(users.statistics().late_responses, 1U);
+}
+
 }  // namespace gingerdrift::testing
