--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -317,12 +317,32 @@
   lease_from_s_ = site_.now();
   site_.listen(address_, [this](const net::request& message, const net::reply_fn& reply) {
     if (gone_ || (site_.commands_arrive && !site_.commands_arrive(*this))) return;
-    reply(serve(message));
+    if (hanging()) {
+      held_commands_.emplace_back(message, reply);
+    } else {
+      reply(serve(message));
+    }
   });
   schedule_report(0);
   step();
 }
 
+void machine::warn(double seconds_left) {
+  taken_at_s_ = site_.now() + seconds_left;
+  note_change();
+}
+
+bool machine::hanging() const { return site_.now() < hangs_until_s_; }
+
+void machine::hang(double seconds) {
+  hangs_until_s_ = site_.now() + seconds;
+  site_.after(seconds, [this] {
+    if (gone_ || hanging()) return;
+    for (const auto& [message, reply] : std::exchange(held_commands_, {})) reply(serve(message));
+    if (!in_flight_) schedule_report(0);
+  });
+}
+
 void machine::remove() {
   gone_ = true;
   up_ = false;
@@ -333,7 +353,7 @@
   json body = {{"host", name_},   {"addr", address_}, {"flavor", "g8"},     {"yard", zone_},
                {"loaners", spot_}, {"shift", shift_},  {"tick", ++tick_},    {"baton", token_},
                {"warningS", nullptr}, {"pieces", json::array()}};
-  if (warning_until_s_) body["warningS"] = *warning_until_s_;
+  if (taken_at_s_) body["warningS"] = std::max(0.0, *taken_at_s_ - site_.now());
   for (const auto& task : tasks_) {
     json piece = {{"piece", task.job + "/" + std::to_string(task.index)},
                   {"try", task.attempt},
@@ -349,7 +369,7 @@
   if (report_timer_ != 0) site_.runtime.cancel(report_timer_);
   report_timer_ = site_.runtime.after(gingerdrift::from_seconds(delay_s), [this] {
     report_timer_ = 0;
-    if (!gone_ && !in_flight_) send_report();
+    if (!gone_ && !in_flight_ && !hanging()) send_report();
   });
 }
 
@@ -372,7 +392,11 @@
   const auto done = [this, sent_s = site_.now(), shift = shift_](const net::response& reply) {
     if (gone_) return;
     in_flight_ = false;
-    answered(reply, sent_s, shift);
+    // The answer that reaches a hanging machine is read when it goes on, and dropped if it is late.
+    if (!hanging()) return answered(reply, sent_s, shift);
+    site_.after(hangs_until_s_ - site_.now() + 0.01, [this, reply, sent_s, shift] {
+      if (!gone_ && site_.now() - sent_s <= report_patience_s) answered(reply, sent_s, shift);
+    });
   };
   const auto patience = gingerdrift::from_seconds(report_patience_s);
   if (way == site::passage::nothing) {
@@ -517,6 +541,7 @@
 void machine::step() {
   if (gone_) return;
   site_.after(step_s, [this] { step(); });
+  if (hanging()) return;
   const double now = site_.now();
   if (now - lease_from_s_ > site_.options.lease_s) {
     if (!tasks_.empty()) site_.note(name_ + " lease expired, kills all its tasks");
--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -185,8 +185,11 @@
   void remove();
   /// Prefers this controller for the next report.
   void report_to(std::size_t node) { target_ = node; }
-  /// Gives the notice that the cloud takes the machine away.
-  void warn(double seconds_left) { warning_until_s_ = seconds_left; }
+  /// Gives the notice that the cloud takes the machine away after this time.
+  void warn(double seconds_left);
+  /// The machine executes nothing for this long and then goes on.
+  void hang(double seconds);
+  bool hanging() const;
 
  private:
   friend class site;
@@ -222,7 +225,9 @@
   bool change_pending_ = false;
   std::size_t target_ = 0;
   net::timer_id report_timer_ = 0;
-  std::optional<double> warning_until_s_;
+  std::optional<double> taken_at_s_;
+  double hangs_until_s_ = 0;
+  std::vector<std::pair<net::request, net::reply_fn>> held_commands_;
 };
 
 /// A controller process.
