--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kept_changes = 10000;
 constexpr std::size_t page_bytes = std::size_t{512} << 10;
 constexpr std::size_t transaction_bytes = std::size_t{64} << 10;
+constexpr std::size_t max_request_bytes = std::size_t{64} << 10;
 
 std::string path_of(const std::string& target) { return target.substr(0, target.find('?')); }
 
@@ -389,6 +390,12 @@
   const std::size_t node = target_ % site_.options.controllers;
   const auto way = site_.report_link ? site_.report_link(*this, node) : site::passage::both;
   const std::string body = report().dump();
+  if (body.size() > max_request_bytes) {
+    // The protocol allows no larger request, so this report can't be sent.
+    site_.note(format("%s has a report of %zu bytes, which can't be sent", name_.c_str(), body.size()));
+    in_flight_ = false;
+    return schedule_report(1);
+  }
   const auto done = [this, sent_s = site_.now(), shift = shift_](const net::response& reply) {
     if (gone_) return;
     in_flight_ = false;
@@ -428,6 +435,7 @@
     return schedule_report(1);
   }
   schedule_report(std::max(0.0, sent_s + usual_s - site_.now()));
+  if (site_.on_answer) site_.on_answer(*this, reply.body);
   const json body = json::parse(reply.body, nullptr, false);
   if (body.is_discarded() || !body.contains("baton") || shift != shift_) return;
   const auto token = body["baton"].get<std::uint64_t>();
--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -315,6 +315,8 @@
   std::function<void(const machine&, const machine::task&)> on_run;
   /// Called when a task ends.
   std::function<void(const machine&, const machine::task&)> on_end;
+  /// Called with the body of each answer to a report.
+  std::function<void(const machine&, const std::string& body)> on_answer;
   /// Decides whether a report reaches its controller and its answer the worker.
   enum class passage { both, nothing, report_only };
   std::function<passage(const machine&, std::size_t node)> report_link;
