Measure the turns of the event loop and log slow ones by activity

Change: net::turn_meter reports the busy time of each turn; slow_turn_logger logs turns of 500 ms or more as event_loop_turn_slow with the time of each activity in them. The status report has loop_turns (median, 99th percentile, longest), and recovery and maintenance in spent_s.

--- a/src/base/metrics.hpp
+++ b/src/base/metrics.hpp
@@ -66,6 +66,17 @@
   time_point begin_ = std::chrono::steady_clock::now();
 };
 
+/// Time spent on the event loop's thread, by activity.
+struct loop_activity_times {
+  duration heartbeats{};
+  duration user_requests{};
+  duration peer_requests{};
+  duration recovery{};     // adding the records that a new leader reads
+  duration snapshots{};    // of the leader's state, for scheduling cycles
+  duration decisions{};    // applying the results of scheduling cycles
+  duration maintenance{};  // the leader's periodic checks of machines and leases
+};
+
 /// Metrics of one controller since its start, for the status report. Must be used on the event
 /// loop's thread.
 struct metrics {
@@ -73,12 +84,10 @@
   duration_histogram scheduling_cycles;
   /// How late the event loop runs its timers.
   duration_histogram loop_delays;
-  // Time spent on the event loop's thread, by activity:
-  duration heartbeat_time{};
-  duration user_request_time{};
-  duration peer_request_time{};
-  duration snapshot_time{};
-  duration decision_time{};
+  /// Busy times of the event loop's turns.
+  duration_histogram loop_turns;
+  duration longest_loop_turn{};
+  loop_activity_times loop_activities;
   // Event counts:
   std::uint64_t user_requests = 0;
   std::uint64_t heartbeats = 0;
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -51,7 +51,8 @@
       watchdog_(runtime, platform_settings_.worker_heartbeat_interval, peers_, elector_, metrics_,
                 [this] { return is_leader() ? term_.get() : nullptr; }),
       status_logger_(runtime, status_callbacks()),
-      query_failure_logger_(runtime, api_.statistics(), [this] { return known_leader(); }) {}
+      query_failure_logger_(runtime, api_.statistics(), [this] { return known_leader(); }),
+      slow_turn_logger_(metrics_) {}
 
 controller::~controller() { term_.reset(); }
 
@@ -226,12 +227,12 @@
     return;
   }
   ++metrics_.user_requests;
-  const stopwatch watch(metrics_.user_request_time);
+  const stopwatch watch(metrics_.loop_activities.user_requests);
   api_.handle(message, false, reply);
 }
 
 void controller::handle_peer_request(const net::request& message, const net::reply_fn& reply) {
-  const stopwatch watch(metrics_.peer_request_time);
+  const stopwatch watch(metrics_.loop_activities.peer_requests);
   peers_.handle(message, reply);
 }
 
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -9,6 +9,7 @@
 #include "daemon/heartbeat_router.hpp"
 #include "daemon/leader_watchdog.hpp"
 #include "daemon/machine_type_cache.hpp"
+#include "daemon/slow_turn_logger.hpp"
 #include "daemon/status_report.hpp"
 #include "leader/leader_term.hpp"
 #include "leadership/leader_elector.hpp"
@@ -42,6 +43,8 @@
   /// Includes the connections of a server in the status report. The server has to outlive the
   /// controller's last status report.
   void report_server(const std::string& name, const net::http_server& server);
+  /// Records that a turn of the event loop has ended, in which it was busy for this time.
+  void handle_turn_finished(duration busy) { slow_turn_logger_.turn_finished(busy); }
   /// Reports whether this controller holds the leader's lease and has read all records from the
   /// store.
   bool is_leader() const override { return elector_.lease_valid() && term_ && term_->ready(); }
@@ -96,6 +99,7 @@
   leader_watchdog watchdog_;
   status_logger status_logger_;
   query_failure_logger query_failure_logger_;
+  slow_turn_logger slow_turn_logger_;
   std::map<std::string, const net::http_server*> servers_;  // by name in the status report
   std::unique_ptr<leader::leader_term> term_;               // null unless this controller is leader
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -90,6 +90,7 @@
                platform_settings.node, platform_settings.listen);
   controller.report_server("public", public_server);
   controller.report_server("peer", peer_server);
+  runtime.observe_turns([&](duration busy) { controller.handle_turn_finished(busy); });
   controller.start();
   runtime.run();
   return 0;
--- a/src/daemon/status_report.cpp
+++ b/src/daemon/status_report.cpp
@@ -19,12 +19,17 @@
   report["loop_delay"] = metrics.loop_delays.summary();
   report["cycles"] = metrics.scheduling_cycles.summary();
   report["user_requests"] = metrics.user_requests;
-  report["spent_s"] = {{"heartbeats", to_seconds(metrics.heartbeat_time)},
-                       {"user_requests", to_seconds(metrics.user_request_time)},
-                       {"peers", to_seconds(metrics.peer_request_time)},
-                       {"snapshots", to_seconds(metrics.snapshot_time)},
+  report["loop_turns"] = metrics.loop_turns.summary();
+  report["loop_turns"]["max_ms"] = to_seconds(metrics.longest_loop_turn) * 1000;
+  const loop_activity_times& spent = metrics.loop_activities;
+  report["spent_s"] = {{"heartbeats", to_seconds(spent.heartbeats)},
+                       {"user_requests", to_seconds(spent.user_requests)},
+                       {"peers", to_seconds(spent.peer_requests)},
+                       {"recovery", to_seconds(spent.recovery)},
+                       {"maintenance", to_seconds(spent.maintenance)},
+                       {"snapshots", to_seconds(spent.snapshots)},
                        {"cycles", to_seconds(metrics.scheduling_cycles.total())},
-                       {"decisions", to_seconds(metrics.decision_time)}};
+                       {"decisions", to_seconds(spent.decisions)}};
 }
 
 void add_peers(const peers::peer_network& network, nlohmann::json& report) {
--- a/src/leader/job_loader.cpp
+++ b/src/leader/job_loader.cpp
@@ -28,6 +28,7 @@
       store_(store),
       jobs_(context.jobs),
       dependencies_(context.dependencies),
+      metrics_(context.controller_metrics),
       callbacks_(std::move(owner_callbacks)) {
   for (const auto& team : context.platform.teams) known_teams_.insert(team.name);
 }
@@ -45,6 +46,7 @@
 }
 
 void job_loader::handle_page(const std::string& prefix, const kvstore::result& page) {
+  const stopwatch watch(metrics_.loop_activities.recovery);
   // The watch starts at the revision of the first page, so it covers all records that are stored
   // after this page was read.
   if (!watch_revision_.exists()) watch_revision_ = page.revision;
--- a/src/leader/job_loader.hpp
+++ b/src/leader/job_loader.hpp
@@ -59,6 +59,7 @@
   kvstore::client& store_;
   job_store::job_table& jobs_;
   dependencies::tracker& dependencies_;
+  metrics& metrics_;
   callbacks callbacks_;
   std::set<std::string> known_teams_;
   std::vector<kvstore::entry> placement_log_;  // collected until all records have been read
--- a/src/leader/leader_term.cpp
+++ b/src/leader/leader_term.cpp
@@ -224,6 +224,7 @@
 void leader_term::tick() {
   tick_timer_.start(zone_health::update_interval, [this] { tick(); });
   if (!ready()) return;
+  const stopwatch watch(context_.controller_metrics.loop_activities.maintenance);
   delegates_.poll();
   workers_.probe();
   workers_.forget_old_failures();
--- a/src/leader/scheduling_loop.cpp
+++ b/src/leader/scheduling_loop.cpp
@@ -65,7 +65,7 @@
 }
 
 admission::snapshot scheduling_loop::take_snapshot() {
-  const stopwatch watch(metrics_.snapshot_time);
+  const stopwatch watch(metrics_.loop_activities.snapshots);
   return snapshots_.build();
 }
 
@@ -74,7 +74,7 @@
   ++cycles_finished_;
   metrics_.scheduling_cycles.add(computing_time);
   if (callbacks_.lease_valid()) {
-    const stopwatch watch(metrics_.decision_time);
+    const stopwatch watch(metrics_.loop_activities.decisions);
     decisions_.apply(decisions);
   }
   last_cycle_duration_ = runtime_.now() - last_cycle_start_;
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -2,6 +2,10 @@
 
 #include <uv.h>
 
+#include <chrono>
+
+#include "base/time.hpp"
+
 namespace gingerdrift::net {
 
 /// Owns a libuv loop. All owners of a handle on the loop must be destroyed before it; the
@@ -21,11 +25,15 @@
   void run() { uv_run(&loop_, UV_RUN_DEFAULT); }
   /// Makes run() return after the current loop iteration.
   void stop() { uv_stop(&loop_); }
+  /// Makes idle_time() available. Must be called before run().
+  void measure_idle_time() { uv_loop_configure(&loop_, UV_METRICS_IDLE_TIME); }
+  /// Returns for how long the loop has waited for events since its start.
+  duration idle_time() const { return std::chrono::nanoseconds(uv_metrics_idle_time(&loop_)); }
   /// Returns the libuv loop, for the initialization of handles.
   uv_loop_t* get() { return &loop_; }
 
  private:
-  uv_loop_t loop_{};
+  mutable uv_loop_t loop_{};  // mutable, as uv_metrics_idle_time() locks a mutex in it
 };
 
 }  // namespace gingerdrift::net
--- a/src/net/uv_handle.hpp
+++ b/src/net/uv_handle.hpp
@@ -54,4 +54,14 @@
   return handle_ptr<uv_check_t>(check.release());
 }
 
+/// Creates a handle that calls `prepared` before each poll of the loop, until the handle is closed.
+/// It does not keep the loop running.
+inline handle_ptr<uv_prepare_t> make_prepare_handle(uv_loop_t* loop, uv_prepare_cb prepared) {
+  auto prepare = std::make_unique<uv_prepare_t>();
+  uv_prepare_init(loop, prepare.get());
+  uv_prepare_start(prepare.get(), prepared);
+  uv_unref(reinterpret_cast<uv_handle_t*>(prepare.get()));
+  return handle_ptr<uv_prepare_t>(prepare.release());
+}
+
 }  // namespace gingerdrift::net
--- a/src/net/uv_runtime.cpp
+++ b/src/net/uv_runtime.cpp
@@ -25,6 +25,10 @@
 
 void uv_runtime::post(std::function<void()> action) { posted_actions_.post(std::move(action)); }
 
+void uv_runtime::observe_turns(turn_meter::turn_fn turn_finished) {
+  turn_meter_ = std::make_unique<turn_meter>(loop_, std::move(turn_finished));
+}
+
 void uv_runtime::run() { loop_.run(); }
 
 void uv_runtime::stop() { loop_.stop(); }
--- a/src/net/uv_runtime.hpp
+++ b/src/net/uv_runtime.hpp
@@ -3,6 +3,7 @@
 #include <uv.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "net/address.hpp"
@@ -12,6 +13,7 @@
 #include "net/posted_actions.hpp"
 #include "net/timer_queue.hpp"
 #include "net/transport.hpp"
+#include "net/turn_meter.hpp"
 
 namespace gingerdrift::net {
 
@@ -36,6 +38,8 @@
   void stop();
   /// Returns the libuv loop, for servers and other direct users of libuv.
   uv_loop_t* loop() { return loop_.get(); }
+  /// Makes the loop report the busy time of each turn. Must be called at most once, before run().
+  void observe_turns(turn_meter::turn_fn turn_finished);
   /// Returns the number of connections for outgoing calls, including idle ones.
   std::size_t open_client_connections() const { return client_.open_connections(); }
 
@@ -45,6 +49,7 @@
   timer_queue timers_;
   posted_actions posted_actions_;
   http_client client_;
+  std::unique_ptr<turn_meter> turn_meter_;
 };
 
 }  // namespace gingerdrift::net
--- a/tests/status_report_test.cpp
+++ b/tests/status_report_test.cpp
@@ -32,7 +32,7 @@
   measured.preemptions = 4;
   measured.upgrades = 5;
   measured.user_requests = 6;
-  measured.snapshot_time = seconds(7);
+  measured.loop_activities.snapshots = seconds(7);
   measured.scheduling_cycles.add(seconds(8));
   nlohmann::json report;
   daemon::add_metrics(measured, report);
