Process heartbeats in time slices, so that a burst keeps the leader neither from its lease nor from users

What callers saw: at about 4,000 machines questions about accepted jobs got 503 or no answer for more than a minute after the last fault, without an end by itself.

Cause: unbounded work in one turn of the event loop. All heartbeats that had arrived were processed in the turn that read them, before any timer and before whatever came after them: renewal of the leader's lease, health checks, peers' heartbeats, forwarded queries. With 3,975 workers and little processor time one turn took up to 4.1 s, most of it heartbeats; the lease takes 4 s. The successor gets the same heartbeats, and all early ones in one turn once it has read the records. Besides, timers without a delay ran in libuv's timer phase until none was due, without a poll for I/O between them.

Change: net::time_sliced_queue runs heartbeats, early ones too, in slices of 20 ms, or as long as the other work took since the last slice, 100 ms at most. A heartbeat that waited for more than 2 s gets 503, as its worker has most likely given it up. timer_queue lets the loop poll between two runs of due timers. Status: heartbeat_wait, heartbeats_expired.

Why it works: timers, peers and queries wait for one slice and the reading of what arrived, not for a whole fleet. A worker has one heartbeat under way, so the queue is no longer than the connections.

Evidence: heartbeat_burst.* (virtual time with processor time for each heartbeat): before, 5 changes of leader in 120 s in place of 1, and 17 of 30 queries answered in time; event_loop.timers_without_delay_* failed on the timer queue of before by construction (libuv's timer phase did not end); it was not run there.

--- a/src/base/metrics.hpp
+++ b/src/base/metrics.hpp
@@ -87,11 +87,14 @@
   /// Busy times of the event loop's turns.
   duration_histogram loop_turns;
   duration longest_loop_turn{};
+  /// Times from the arrival of heartbeats to their processing.
+  duration_histogram heartbeat_waits;
   loop_activity_times loop_activities;
   // Event counts:
   std::uint64_t user_requests = 0;
   std::uint64_t heartbeats = 0;
   std::uint64_t redirected_heartbeats = 0;
+  std::uint64_t expired_heartbeats = 0;  // waited so long that their workers had given them up
   std::uint64_t starts = 0;
   std::uint64_t preemptions = 0;
   std::uint64_t upgrades = 0;
--- a/src/daemon/heartbeat_router.cpp
+++ b/src/daemon/heartbeat_router.cpp
@@ -11,6 +11,10 @@
 constexpr int status_bad_request = 400;
 constexpr int status_method_not_allowed = 405;
 constexpr int status_misdirected = 421;
+constexpr int status_unavailable = 503;
+/// A worker gives a heartbeat up after 4 s, including the time to connect. The answer to one that
+/// has waited for longer might arrive too late, and a start in it would be lost.
+constexpr auto max_wait = seconds(2);
 
 void send_response(const net::reply_fn& reply, int status, std::string body) {
   reply({status, std::move(body), std::nullopt, false});
@@ -28,14 +32,28 @@
       delegate_(delegate),
       metrics_(metrics),
       callbacks_(std::move(owner_callbacks)),
-      recent_redirects_(platform_settings.worker_heartbeat_interval) {}
+      recent_redirects_(platform_settings.worker_heartbeat_interval),
+      queue_(runtime) {}
 
 void heartbeat_router::handle(const net::request& message, const net::reply_fn& reply) {
   if (message.method != "POST") {
     send_response(reply, status_method_not_allowed, api::encode_error("method not allowed"));
     return;
   }
-  const stopwatch watch(metrics_.heartbeat_time);
+  queue_.run(
+      [this, message, received = runtime_.now(), reply] { process(message, received, reply); });
+}
+
+void heartbeat_router::process(const net::request& message, time_point received,
+                               const net::reply_fn& reply) {
+  const stopwatch watch(metrics_.loop_activities.heartbeats);
+  const duration waited = runtime_.now() - received;
+  metrics_.heartbeat_waits.add(waited);
+  if (waited > max_wait) {
+    ++metrics_.expired_heartbeats;
+    send_response(reply, status_unavailable, api::encode_error("too late"));
+    return;
+  }
   auto* term = callbacks_.term();
   if (term != nullptr && elector_.may_renew_worker_leases()) {
     dispatch_to_term(*term, message, reply);
--- a/src/daemon/heartbeat_router.hpp
+++ b/src/daemon/heartbeat_router.hpp
@@ -6,6 +6,7 @@
 #include "base/recent_count.hpp"
 #include "leader/leader_term.hpp"
 #include "leadership/leader_elector.hpp"
+#include "net/time_sliced_queue.hpp"
 #include "workers/lease_delegate.hpp"
 
 namespace gingerdrift::daemon {
@@ -14,6 +15,10 @@
 /// controller, or the lease delegate while this zone is cut off from the leader. Any other
 /// heartbeat is answered with a redirect to the leader.
 ///
+/// Heartbeats are processed in time slices. The heartbeats of thousands of workers may arrive at
+/// the same time, and nothing else on the event loop may wait until all of them have been
+/// processed: the leader would lose its lease, and its successor would receive the same heartbeats.
+///
 /// Not thread-safe; runs on the thread of the runtime.
 class heartbeat_router {
  public:
@@ -35,6 +40,7 @@
   std::uint64_t recent_redirects() { return recent_redirects_.count(runtime_.now()); }
 
  private:
+  void process(const net::request& message, time_point received, const net::reply_fn& reply);
   bool try_dispatch_to_delegate(const net::request& message, const net::reply_fn& reply);
   void redirect_to_leader(const net::reply_fn& reply);
   void dispatch_to_term(leader::leader_term& term, const net::request& message,
@@ -47,6 +53,7 @@
   metrics& metrics_;
   callbacks callbacks_;
   recent_count recent_redirects_;
+  net::time_sliced_queue queue_;
 };
 
 }  // namespace gingerdrift::daemon
--- a/src/daemon/status_report.cpp
+++ b/src/daemon/status_report.cpp
@@ -13,6 +13,8 @@
 void add_metrics(const metrics& metrics, nlohmann::json& report) {
   report["heartbeats"] = metrics.heartbeats;
   report["heartbeats_redirected"] = metrics.redirected_heartbeats;
+  report["heartbeats_expired"] = metrics.expired_heartbeats;
+  report["heartbeat_wait"] = metrics.heartbeat_waits.summary();
   report["starts"] = metrics.starts;
   report["preemptions"] = metrics.preemptions;
   report["upgrades"] = metrics.upgrades;
--- a/src/leader/heartbeat_intake.cpp
+++ b/src/leader/heartbeat_intake.cpp
@@ -32,7 +32,8 @@
       max_early_heartbeats_(max_early_heartbeats),
       callbacks_(std::move(owner_callbacks)),
       term_start_(runtime_.now()),
-      last_heartbeat_(term_start_) {}
+      last_heartbeat_(term_start_),
+      early_queue_(runtime_) {}
 
 heartbeat_intake::~heartbeat_intake() {
   guard_.revoke();
@@ -64,13 +65,21 @@
 }
 
 void heartbeat_intake::process_early_heartbeats() {
-  auto waiting = std::exchange(early_heartbeats_, {});
-  for (auto& early : waiting) receive(std::move(early.heartbeat), std::move(early.answer));
+  const std::size_t waiting = early_heartbeats_.size();
+  for (std::size_t i = 0; i < waiting; ++i)
+    early_queue_.run([this] { process_next_early_heartbeat(); });
+}
+
+void heartbeat_intake::process_next_early_heartbeat() {
+  early_heartbeat early = std::move(early_heartbeats_.front());
+  early_heartbeats_.pop_front();
+  receive(std::move(early.heartbeat), std::move(early.answer));
 }
 
 /// Redirects the workers whose wait has timed out while the records are still being read, because
 /// another controller may be able to answer sooner.
 void heartbeat_intake::redirect_expired() {
+  if (callbacks_.is_recovered()) return;
   const time_point now = runtime_.now();
   auto waiting = std::exchange(early_heartbeats_, {});
   for (auto& early : waiting) {
--- a/src/leader/heartbeat_intake.hpp
+++ b/src/leader/heartbeat_intake.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include "leader/machine_drain.hpp"
 #include "leader/scheduling_loop.hpp"
 #include "leader/term_context.hpp"
+#include "net/time_sliced_queue.hpp"
 #include "workers/reconciler.hpp"
 
 namespace gingerdrift::leader {
@@ -72,6 +74,7 @@
     std::uint64_t cycles_started_at_receipt = 0;
   };
   void defer_until_recovery(workers::worker_heartbeat heartbeat, answer_fn answer);
+  void process_next_early_heartbeat();
   void redirect_expired();
   void reconcile(workers::worker_heartbeat heartbeat, answer_fn answer);
   void hold_answer(workers::worker_heartbeat heartbeat, answer_fn answer);
@@ -89,7 +92,8 @@
   const time_point term_start_;
   time_point last_heartbeat_;
   std::vector<held_heartbeat> held_heartbeats_;
-  std::vector<early_heartbeat> early_heartbeats_;
+  std::deque<early_heartbeat> early_heartbeats_;
+  net::time_sliced_queue early_queue_;
   callback_guard guard_;
 };
 
--- a/src/net/timer_queue.hpp
+++ b/src/net/timer_queue.hpp
@@ -33,13 +33,14 @@
   };
   using schedule = std::multimap<time_point, entry>;
 
-  void arm_timer();
+  void arm_timer(duration least_delay);
   void run_due();
 
   handle_ptr<uv_timer_t> handle_;
   schedule schedule_;                                         // ordered by due time
   std::unordered_map<timer_id, schedule::iterator> entries_;  // by timer
   timer_id next_id_ = 1;
+  bool running_ = false;  // run_due() runs
 };
 
 }  // namespace gingerdrift::net
--- a/tests/support/sim_net.cpp
+++ b/tests/support/sim_net.cpp
@@ -12,6 +12,8 @@
 }
 
 void sim_net::stop(const std::string& host) {
+  if (const auto used = processors_.find(host); used != processors_.end())
+    used->second = processor(used->second.times);
   std::erase_if(servers_, [&](const auto& entry) { return entry.second.host == host; });
 }
 
@@ -80,34 +82,87 @@
     });
     return;
   }
+  run_on(host, [this, from, host, address, message, finish] {
+    handle(from, host, address, message, finish);
+  });
+}
+
+void sim_net::handle(const std::string& from, const std::string& host, const std::string& address,
+                     const net::request& message, const net::reply_fn& finish) {
   const auto target = servers_.find(address);
   if (target == servers_.end()) {
     finish({});  // no server listens at the address: the connection is refused
     return;
   }
   const auto handler = target->second.handler;
-  handler(message, [this, from, host, finish](const net::response& reply) {
+  handler(message, [this, from, host, path = message.target, finish](const net::response& reply) {
+    if (reply.status == 200) spend_processing_time(host, path);
     if (on_sent) on_sent({.sent = now(), .sender = host, .receiver = from, .response = &reply});
     const auto arrives = arrival(host, from);
-    if (arrives) run_at(*arrives, [finish, reply] { finish(reply); });
+    if (arrives) run_at(*arrives + spent_in_turn(host), [finish, reply] { finish(reply); });
   });
 }
 
+void sim_net::run_on(const std::string& host, std::function<void()> action) {
+  const auto found = processors_.find(host);
+  if (found == processors_.end()) return action();
+  processor& used = found->second;
+  if (used.waiting.empty() && used.busy_until <= now()) {
+    action();
+    end_turn(used);
+    return;
+  }
+  if (used.waiting.empty()) run_at(used.busy_until, [this, host] { run_next_turn(host); });
+  used.waiting.push_back(std::move(action));
+}
+
+void sim_net::run_next_turn(const std::string& host) {
+  processor& used = processors_.at(host);
+  for (const auto& action : std::exchange(used.waiting, {})) action();
+  end_turn(used);
+}
+
+void sim_net::end_turn(processor& busy) {
+  busy.busy_until = now() + std::exchange(busy.spent_in_turn, duration::zero());
+}
+
+void sim_net::spend_processing_time(const std::string& host, const std::string& target) {
+  const auto used = processors_.find(host);
+  if (used == processors_.end()) return;
+  const auto time = used->second.times.find(target);
+  if (time != used->second.times.end()) used->second.spent_in_turn += time->second;
+}
+
+duration sim_net::spent_in_turn(const std::string& host) const {
+  const auto used = processors_.find(host);
+  return used == processors_.end() ? duration::zero() : used->second.spent_in_turn;
+}
+
 wall_time sim_runtime::wall_now() {
   return wall_time(std::chrono::duration_cast<wall_time::duration>(net_.now().time_since_epoch()));
 }
 
 net::timer_id sim_runtime::after(duration delay, std::function<void()> action) {
   const auto id = std::make_shared<net::timer_id>(0);
-  *id = net_.after(delay, guard_.wrap([this, id, action = std::move(action)] {
-    const time_point resumes_at = net_.frozen_until(host_);
-    if (resumes_at <= net_.now()) return action();
-    postponed_[*id] = net_.run_at(resumes_at, guard_.wrap(action));
-  }));
+  *id = net_.after(
+      net_.spent_in_turn(host_) + delay, guard_.wrap([this, id, action = std::move(action)] {
+        const time_point resumes_at = net_.frozen_until(host_);
+        if (resumes_at <= net_.now()) return run_timer(*id, action);
+        postponed_[*id] =
+            net_.run_at(resumes_at, guard_.wrap([this, id, action] { run_timer(*id, action); }));
+      }));
   return *id;
 }
 
+void sim_runtime::run_timer(net::timer_id id, const std::function<void()>& action) {
+  due_.insert(id);
+  net_.run_on(host_, guard_.wrap([this, id, action] {
+    if (due_.erase(id) != 0) action();
+  }));
+}
+
 void sim_runtime::cancel(net::timer_id id) {
+  due_.erase(id);
   net_.cancel(id);
   if (const auto timer = postponed_.find(id); timer != postponed_.end()) net_.cancel(timer->second);
 }
@@ -163,8 +218,10 @@
   net_.call(host_, address, std::move(message), deadline,
             guard_.wrap([this, done = std::move(done)](const net::response& reply) {
               const time_point resumes_at = net_.frozen_until(host_);
-              if (resumes_at <= net_.now()) return done(reply);
-              net_.run_at(resumes_at, guard_.wrap([done, reply] { done(reply); }));
+              const auto receive = guard_.wrap([done, reply] { done(reply); });
+              if (resumes_at <= net_.now()) return net_.run_on(host_, receive);
+              net_.run_at(resumes_at,
+                          guard_.wrap([this, receive] { net_.run_on(host_, receive); }));
             }));
 }
 
--- a/tests/support/sim_net.hpp
+++ b/tests/support/sim_net.hpp
@@ -6,7 +6,9 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "base/callback_guard.hpp"
 #include "net/transport.hpp"
@@ -85,6 +87,17 @@
   /// Answers that arrive there are not delayed.
   void delay_requests(const std::string& host, duration delay) { request_delays_[host] = delay; }
 
+  /// Makes each response 200 of the host to a request for `target` take processor time. From then
+  /// on the host works in turns, as an event loop does: what arrives or becomes due during a turn
+  /// is processed in the next one.
+  void set_processing_time(const std::string& host, const std::string& target, duration time) {
+    processors_[host].times[target] = time;
+  }
+  /// Runs an action on the host: now, or in its next turn if its processor is busy.
+  void run_on(const std::string& host, std::function<void()> action);
+  /// Returns the processor time that the host has spent in its current turn.
+  duration spent_in_turn(const std::string& host) const;
+
   /// Called when a late copy of a request is delivered.
   std::function<void(const std::string& address, const net::request&)> on_late_copy;
   /// Called for every message of the service, its workers, its users and external systems.
@@ -111,6 +124,16 @@
     std::string receiver;
     auto operator<=>(const link&) const = default;
   };
+  /// The processor of a host whose requests take processor time.
+  struct processor {
+    processor() = default;
+    explicit processor(std::map<std::string, duration> processing_times)
+        : times(std::move(processing_times)) {}
+    std::map<std::string, duration> times;       // by target
+    duration spent_in_turn{};                    // zero between two turns
+    time_point busy_until{};                     // end of the current turn
+    std::vector<std::function<void()>> waiting;  // for the next turn
+  };
   struct link_cut {
     time_point until;
     cut_mode mode;
@@ -130,6 +153,11 @@
   void maybe_copy_late(const std::string& address, const net::request& message);
   void deliver(const std::string& from, const std::string& host, const std::string& address,
                const net::request& message, const net::reply_fn& finish);
+  void handle(const std::string& from, const std::string& host, const std::string& address,
+              const net::request& message, const net::reply_fn& finish);
+  void run_next_turn(const std::string& host);
+  void end_turn(processor& busy);
+  void spend_processing_time(const std::string& host, const std::string& target);
   duration latency() { return from_seconds(uniform(0.0005, 0.003)); }
   duration request_delay(const std::string& host) const {
     const auto delay = request_delays_.find(host);
@@ -145,6 +173,7 @@
   std::map<std::string, time_point> muted_until_;
   std::map<std::string, time_point> frozen_until_;
   std::map<std::string, duration> request_delays_;  // by host
+  std::map<std::string, processor> processors_;     // by host
   std::size_t expired_arrivals_ = 0;
   bool ever_held_packets_ = false;
 };
@@ -161,7 +190,7 @@
  public:
   sim_runtime(sim_net& net, std::string host) : net_(net), host_(std::move(host)) {}
 
-  time_point now() override { return net_.now(); }
+  time_point now() override { return net_.now() + net_.spent_in_turn(host_); }
   /// Returns a wall clock time whose offset from the epoch equals that of virtual time.
   wall_time wall_now() override;
   /// Limits the calls to each address; there is no limit otherwise. The deadline of a call includes
@@ -184,6 +213,7 @@
     std::size_t active = 0;
     std::deque<queued_call> queue;
   };
+  void run_timer(net::timer_id id, const std::function<void()>& action);
   void start_call(const std::string& address, net::request message, duration deadline,
                   net::reply_fn done);
   void start_limited_call(const std::string& address, queued_call call);
@@ -197,6 +227,7 @@
   std::uint64_t next_call_ = 1;
   /// Maps each timer that became due while the host was frozen to the timer that replaces it.
   std::map<net::timer_id, net::timer_id> postponed_;
+  std::set<net::timer_id> due_;  // timers that became due and were not cancelled
   callback_guard guard_;
 };
 
