Continue the watch of the leader key after its version was compacted

What callers saw: two minutes after an election followers used up their share of the state service's requests; questions that the leader couldn't answer got 503 (state_service_budget_used_up).

Cause: action on stale knowledge. A follower watched from the version of the leader key. Once 10,000 later changes of other keys have been made, the state service answers 410 at once, and the follower read the key and watched again after 50 to 150 ms for as long as the leader stayed. No stand-in forgot history, so that no test could see it.

The simulated state service keeps 10,000 changes, or as many as a test sets, and answers 410.

--- a/src/kvstore/client.cpp
+++ b/src/kvstore/client.cpp
@@ -49,6 +49,11 @@
   send(wire::encode_get(key), {.deadline = request_deadline}, std::move(done));
 }
 
+void client::get_revision(result_fn done) {
+  // The service returns its revision with every list, even an empty one.
+  send(wire::encode_list("gd/", "", 1), {.deadline = request_deadline}, std::move(done));
+}
+
 void client::get_for_user(const std::string& key, result_fn done) {
   if (budget_.reserve_for_user(runtime_.now())) return get(key, std::move(done));
   reject_rate_limited(std::move(done));
--- a/src/kvstore/client.hpp
+++ b/src/kvstore/client.hpp
@@ -26,6 +26,8 @@
 
   /// Reads a key.
   void get(const std::string& key, result_fn done);
+  /// Reads the store's current revision, from which a watch can start.
+  void get_revision(result_fn done);
   /// Reads a key on behalf of a user. Such requests also have a budget of their own, so that
   /// elections and lease renewals still succeed however many requests users make.
   void get_for_user(const std::string& key, result_fn done);
--- a/src/leadership/leader_elector.cpp
+++ b/src/leadership/leader_elector.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 const char* const token_key = "gd/token";
-constexpr auto watch_duration = seconds(8);
 /// Least delay before a failed request is repeated. A random delay of up to the same length is
 /// added, so that the candidates do not all campaign at the same moment.
 constexpr auto fetch_retry_delay = milliseconds(200);
@@ -37,6 +36,7 @@
       options_(std::move(options)),
       callbacks_(std::move(owner_callbacks)),
       random_(seed),
+      watch_(store, leader_key),
       incarnation_(std::to_string(random_())),
       fetch_timer_(runtime),
       renewal_timer_(runtime),
@@ -116,15 +116,17 @@
   }
 }
 
-void leader_elector::watch_leader(store_revision from) {
-  store_.watch(leader_key, from, watch_duration,
-               guard_.wrap([this](const kvstore::result& changes) {
-                 if (is_leader_) return;
-                 // The reported change may already be outdated, so the key is read again.
-                 const bool changed = changes.ok() && !changes.entries.empty();
-                 fetch_leader_after(changed ? jitter(milliseconds(30))
-                                            : milliseconds(50) + jitter(milliseconds(100)));
-               }));
+void leader_elector::watch_leader(store_revision version) {
+  watch_.wait(version, [this](leader_key_watch::outcome outcome) {
+    if (!is_leader_) fetch_leader_after(delay_after(outcome));
+  });
+}
+
+/// Returns the delay before the key is read again. A reported change may already be outdated.
+duration leader_elector::delay_after(leader_key_watch::outcome outcome) {
+  if (outcome == leader_key_watch::outcome::changed) return jitter(milliseconds(30));
+  if (outcome == leader_key_watch::outcome::compacted) return retry_delay();
+  return milliseconds(50) + jitter(milliseconds(100));
 }
 
 /// Starts an attempt to become leader by acquiring a lease. `expected_leader_version` is the
--- a/src/leadership/leader_elector.hpp
+++ b/src/leadership/leader_elector.hpp
@@ -9,6 +9,7 @@
 #include "base/callback_guard.hpp"
 #include "base/ids.hpp"
 #include "kvstore/client.hpp"
+#include "leadership/leader_key_watch.hpp"
 #include "net/timer.hpp"
 
 namespace gingerdrift::leadership {
@@ -98,7 +99,8 @@
   void leader_fetched(const kvstore::result& answer);
   void handle_leader_record(const kvstore::entry& record);
   std::optional<std::string> update_known_leader(const kvstore::json& record);
-  void watch_leader(store_revision from);
+  void watch_leader(store_revision version);
+  duration delay_after(leader_key_watch::outcome outcome);
   void campaign(store_revision expected_leader_version);
   void fetch_token(std::uint64_t lease_id, time_point lease_requested_at,
                    store_revision expected_leader_version);
@@ -127,6 +129,7 @@
   options options_;
   callbacks callbacks_;
   std::mt19937_64 random_;
+  leader_key_watch watch_;
   std::string incarnation_;  // random identifier of this process
   known_leader leader_;
   bool is_leader_ = false;
--- a/tests/support/state_service.cpp
+++ b/tests/support/state_service.cpp
@@ -78,12 +78,20 @@
   if (on_change) on_change(key, value);
   if (value == nullptr) {
     if (entries_.erase(key) == 0) return;
-    history_.push_back({.revision = revision_, .key = key, .value = json()});
+    add_to_history({.revision = revision_, .key = key, .value = json()});
     return;
   }
   largest_stored_value_bytes_ = std::max(largest_stored_value_bytes_, value->dump().size());
   entries_[key] = {.value = *value, .version = revision_, .lease = lease};
-  history_.push_back({.revision = revision_, .key = key, .value = *value});
+  add_to_history({.revision = revision_, .key = key, .value = *value});
+}
+
+void state_service::add_to_history(change_record record) {
+  history_.push_back(std::move(record));
+  while (history_.size() > history_length_) {
+    compacted_revision_ = history_.front().revision;
+    history_.pop_front();
+  }
 }
 
 json state_service::changes(const std::string& prefix, std::uint64_t from) const {
@@ -283,6 +291,7 @@
 void state_service::watch(const net::request& message, const net::reply_fn& reply) {
   const auto prefix = query_parameter(message.target, "under");
   const auto from = std::stoull(query_parameter(message.target, "from"));
+  if (from < compacted_revision_) return reply(json_response(410, {{"epoch", revision_}}));
   const json found = changes(prefix, from);
   if (!found.empty()) return reply(json_response(200, {{"epoch", revision_}, {"news", found}}));
   const auto id = next_watch_++;
--- a/tests/support/state_service.hpp
+++ b/tests/support/state_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -26,6 +27,10 @@
   /// answered with 400.
   void set_limits(const kvstore::service_limits& limits);
 
+  /// Sets how many changes the service keeps for watches. A watch from an older revision is
+  /// answered with 410.
+  void set_history_length(std::size_t changes) { history_length_ = changes; }
+
   // Fault injection.
 
   /// Answers every request with 503 during the given time. All leases are renewed to their full
@@ -112,6 +117,7 @@
   void answer_late(const net::request& message, duration delay, const net::reply_fn& reply);
   void expire_leases();
   void change(const std::string& key, const json* value, std::uint64_t lease);
+  void add_to_history(change_record record);
   void notify_watchers();
   json changes(const std::string& prefix, std::uint64_t from) const;
 
@@ -132,7 +138,9 @@
   sim_net& net_;
   std::map<std::string, entry> entries_;
   std::map<std::uint64_t, lease_state> leases_;
-  std::vector<change_record> history_;
+  std::deque<change_record> history_;
+  std::size_t history_length_ = 10000;
+  std::uint64_t compacted_revision_ = 0;  // of the newest change that is no longer kept
   std::vector<watcher> watchers_;
   std::uint64_t revision_ = 1;
   std::uint64_t next_lease_ = 1;
