--- a/src/net/time_sliced_queue.hpp
+++ b/src/net/time_sliced_queue.hpp
@@ -27,7 +27,7 @@
 
   /// Least and greatest duration of a slice. A single action may exceed them.
   static constexpr duration min_slice = milliseconds(20);
-  static constexpr duration max_slice = milliseconds(500);
+  static constexpr duration max_slice = milliseconds(100);
 
  private:
   void start_next_slice();
